Add flow ownership at the agent: handover rule, directory, conflicts

Cause: a packet of a plain flow names no owner, and views of agents differ. Change: a pure core that opens alone when settled, asks the candidates that may own the flow otherwise, and registers flows that are looked for elsewhere.

--- /dev/null
+++ b/internal/flow/handover.go
@@ -0,0 +1,310 @@
+package flow
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/errkind"
+	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/wire"
+)
+
+// pending is a flow for which replies are awaited.
+type pending struct {
+	hash    uint64
+	key     placement.Key
+	packets []Packet
+	asked   []*query
+}
+
+// query is one question to one target.
+type query struct {
+	target   uint32
+	sequence uint64
+	tries    int
+	deadline time.Time
+	answered bool
+}
+
+// handleUnknown decides about a packet of a flow that this agent does not own.
+func (c *Core) handleUnknown(now time.Time, p Packet) {
+	hash := c.hash(p.Key)
+	if waiting := c.pending[hash]; waiting != nil {
+		c.hold(waiting, p)
+		return
+	}
+	target, known := c.directory.lookup(now, hash)
+	known = known && !slices.Contains(p.Passed, target)
+	if known && !c.view.Dead(target) {
+		c.forward(p, target)
+		return
+	}
+	order := c.candidates(p.Key.Service, hash)
+	position := slices.Index(order, c.self)
+	if position < 0 {
+		c.forwardToCandidate(p, order)
+		return
+	}
+	if p.Age > c.limits.MaxAge {
+		c.drop(p, schema.ErrorKind_TOO_OLD, "too old to open a flow")
+		return
+	}
+	owners := c.earlierOwners(now, hash, p, order, position)
+	if known && !slices.Contains(owners, target) {
+		owners = append(owners, target)
+	}
+	c.openOrAsk(now, hash, p, c.worthAsking(p.Key.Service, owners))
+}
+
+// worthAsking leaves out targets that were found dead when the service opens
+// flows on a timeout anyway; the wait would only delay every new flow.
+func (c *Core) worthAsking(service uint32, owners []uint32) []uint32 {
+	if c.view.Services[service].TimeoutAction != schema.TimeoutAction_OPEN_ON_TIMEOUT {
+		return owners
+	}
+	return slices.DeleteFunc(owners, c.view.Dead)
+}
+
+func (c *Core) forwardToCandidate(p Packet, order []uint32) {
+	for _, id := range order {
+		if c.view.Usable(id) && !slices.Contains(p.Passed, id) {
+			c.forward(p, id)
+			return
+		}
+	}
+	c.drop(p, schema.ErrorKind_REFUSED_NO_TARGET, "no usable candidate")
+}
+
+func (c *Core) forward(p Packet, target uint32) {
+	if p.Hops >= wire.MaxHops {
+		c.drop(p, schema.ErrorKind_UNKNOWN_FLOW, "hop limit reached")
+		return
+	}
+	p.Hops++
+	c.emit(Forward{Target: target, Packet: p})
+}
+
+// earlierOwners returns the targets that may own the flow already. A settled
+// first candidate need not ask anybody. A later candidate asks those before it.
+// An unsettled agent asks all candidates, also those of earlier revisions.
+func (c *Core) earlierOwners(now time.Time, hash uint64, p Packet, order []uint32, position int) []uint32 {
+	var ask []uint32
+	add := func(id uint32) {
+		if id != c.self && !slices.Contains(p.Passed, id) && !slices.Contains(ask, id) {
+			ask = append(ask, id)
+		}
+	}
+	for _, id := range order[:position] {
+		add(id)
+	}
+	if !c.settle.unsettled(now, p.Key.Service) {
+		return ask
+	}
+	for _, id := range order[position:] {
+		add(id)
+	}
+	for _, table := range c.view.Previous {
+		for _, id := range table.Candidates(p.Key.Service, hash, nil) {
+			add(id)
+		}
+	}
+	return ask
+}
+
+func (c *Core) openOrAsk(now time.Time, hash uint64, p Packet, ask []uint32) {
+	if len(ask) == 0 {
+		c.stats.OpenedAlone++
+		c.open(now, hash, []Packet{p})
+		return
+	}
+	c.ask(now, hash, p, ask)
+}
+
+func (c *Core) ask(now time.Time, hash uint64, p Packet, targets []uint32) {
+	if c.held >= c.limits.HeldTotal {
+		c.drop(p, schema.ErrorKind_REFUSED_OVERLOAD, "too many buffered packets")
+		return
+	}
+	waiting := &pending{hash: hash, key: p.Key}
+	c.pending[hash] = waiting
+	c.hold(waiting, p)
+	for _, target := range targets {
+		c.sequence++
+		q := &query{target: target, sequence: c.sequence}
+		waiting.asked = append(waiting.asked, q)
+		c.sendAsk(now, waiting, q)
+	}
+}
+
+func (c *Core) hold(waiting *pending, p Packet) {
+	if len(waiting.packets) >= c.limits.HeldPerFlow || c.held >= c.limits.HeldTotal {
+		c.drop(p, schema.ErrorKind_REFUSED_OVERLOAD, "too many buffered packets")
+		return
+	}
+	waiting.packets = append(waiting.packets, p)
+	c.held++
+}
+
+func (c *Core) sendAsk(now time.Time, waiting *pending, q *query) {
+	q.tries++
+	q.deadline = now.Add(c.limits.AskTimeout)
+	c.stats.Asks++
+	c.emit(SendAsk{Target: q.target, Ask: &schema.Ask{
+		Sequence: q.sequence,
+		FlowHash: waiting.hash,
+		Asker:    c.self,
+		Service:  waiting.key.Service,
+	}})
+}
+
+// HandleAsk answers whether this agent owns a flow. A "no" is a promise not to
+// open it; without room to remember the promise no reply is sent.
+func (c *Core) HandleAsk(now time.Time, a *schema.Ask) []Action {
+	c.out = nil
+	reply := &schema.AskReply{Sequence: a.Sequence, FlowHash: a.FlowHash, From: c.self}
+	if c.byHash[a.FlowHash] != nil {
+		reply.Owned = true
+		reply.Owner = c.self
+		c.emit(SendReply{Target: a.Asker, Reply: reply})
+		return c.out
+	}
+	if owner, ok := c.directory.lookup(now, a.FlowHash); ok && owner != a.Asker {
+		reply.Owner = owner
+		c.emit(SendReply{Target: a.Asker, Reply: reply})
+		return c.out
+	}
+	if waiting := c.pending[a.FlowHash]; waiting != nil {
+		if c.precedes(a.Service, a.FlowHash, c.self, a.Asker) {
+			// Both are about to open the flow; the earlier candidate does.
+			reply.Owner = c.self
+			c.emit(SendReply{Target: a.Asker, Reply: reply})
+			return c.out
+		}
+		c.handOver(waiting, a.Asker)
+	}
+	if !c.directory.promise(now, a.FlowHash, a.Asker) {
+		return c.out
+	}
+	c.emit(SendReply{Target: a.Asker, Reply: reply})
+	return c.out
+}
+
+// HandleReply takes in the answer to a query.
+func (c *Core) HandleReply(now time.Time, r *schema.AskReply) []Action {
+	c.out = nil
+	waiting := c.pending[r.FlowHash]
+	if waiting == nil {
+		return nil
+	}
+	q := waiting.find(r)
+	if q == nil {
+		return nil
+	}
+	q.answered = true
+	if r.Owner != 0 && r.Owner != c.self {
+		c.directory.register(now, r.FlowHash, r.Owner)
+		c.handOver(waiting, r.Owner)
+		return c.out
+	}
+	if waiting.complete() {
+		c.finish(now, waiting)
+	}
+	return c.out
+}
+
+// find returns the query that a reply belongs to. Replies to queries of an
+// earlier attempt, for example from before a pause, match none.
+func (w *pending) find(r *schema.AskReply) *query {
+	for _, q := range w.asked {
+		if q.target == r.From && q.sequence == r.Sequence {
+			return q
+		}
+	}
+	return nil
+}
+
+func (w *pending) complete() bool {
+	for _, q := range w.asked {
+		if !q.answered {
+			return false
+		}
+	}
+	return true
+}
+
+// finish opens a flow after all others have promised not to.
+func (c *Core) finish(now time.Time, waiting *pending) {
+	c.release(waiting)
+	c.open(now, waiting.hash, waiting.packets)
+}
+
+func (c *Core) release(waiting *pending) {
+	delete(c.pending, waiting.hash)
+	c.held -= len(waiting.packets)
+}
+
+// handOver sends the held packets of a flow to its owner.
+func (c *Core) handOver(waiting *pending, owner uint32) {
+	c.release(waiting)
+	for _, p := range waiting.packets {
+		c.forward(p, owner)
+	}
+}
+
+// passOn sends a flow for which there is no room to the next candidate and
+// promises not to open it here.
+func (c *Core) passOn(now time.Time, hash uint64, packets []Packet, err *errkind.Error) {
+	order := c.candidates(packets[0].Key.Service, hash)
+	passed := append(slices.Clone(packets[0].Passed), c.self)
+	for _, id := range order {
+		if slices.Contains(passed, id) || !c.view.Usable(id) {
+			continue
+		}
+		if packets[0].Hops >= wire.MaxHops || !c.directory.promise(now, hash, id) {
+			break
+		}
+		for _, p := range packets {
+			p.Passed = passed
+			c.forward(p, id)
+		}
+		return
+	}
+	for _, p := range packets {
+		c.drop(p, err.Kind, err.Detail)
+	}
+}
+
+// tickPending repeats queries and decides when the last try was not answered.
+func (c *Core) tickPending(now time.Time) {
+	for _, hash := range slices.Sorted(maps.Keys(c.pending)) {
+		waiting := c.pending[hash]
+		expired := false
+		for _, q := range waiting.asked {
+			if q.answered || now.Before(q.deadline) {
+				continue
+			}
+			if q.tries < c.limits.AskTries {
+				c.sendAsk(now, waiting, q)
+				continue
+			}
+			expired = true
+		}
+		if expired {
+			c.decideUnanswered(now, waiting)
+		}
+	}
+}
+
+func (c *Core) decideUnanswered(now time.Time, waiting *pending) {
+	c.stats.AskTimeouts++
+	if c.view.Services[waiting.key.Service].TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT {
+		c.finish(now, waiting)
+		return
+	}
+	c.release(waiting)
+	for _, p := range waiting.packets {
+		c.drop(p, schema.ErrorKind_UNKNOWN_OUTCOME, "an earlier candidate did not answer")
+	}
+}
--- /dev/null
+++ b/internal/flow/view.go
@@ -0,0 +1,127 @@
+package flow
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// settle records until when the agent must ask others before it opens a flow.
+type settle struct {
+	until    time.Time
+	services map[uint32]time.Time
+	// unconfirmed is set after a pause until a peer confirmed the revision.
+	unconfirmed bool
+}
+
+func (s *settle) all(until time.Time) {
+	s.until = until
+}
+
+func (s *settle) service(id uint32, until time.Time) {
+	if s.services == nil {
+		s.services = map[uint32]time.Time{}
+	}
+	s.services[id] = until
+}
+
+func (s *settle) unsettled(now time.Time, service uint32) bool {
+	return s.unconfirmed || now.Before(s.until) || now.Before(s.services[service])
+}
+
+// SetView takes in a new view of the fleet. Services whose candidates changed
+// become unsettled. Flows that balancers may now look for elsewhere are
+// registered at once when anything changed that concerns this agent's services.
+func (c *Core) SetView(now time.Time, v View) []Action {
+	c.out = nil
+	old := c.view
+	c.view = v
+	changed := false
+	for id := range v.Services {
+		if old.Table == nil || !v.Table.SameTargets(id, old.Table) {
+			c.settle.service(id, now.Add(c.limits.Window))
+			changed = true
+		}
+	}
+	if old.Table != nil && !v.Table.SameKey(old.Table) {
+		c.rehash()
+	}
+	usable := usableTargets(v)
+	if old.Table == nil || changed || !maps.Equal(usable, c.usable) {
+		c.registerAll(now)
+	}
+	c.usable = usable
+	return c.out
+}
+
+// usableTargets lists the targets of the agent's services that get new flows.
+func usableTargets(v View) map[uint32]bool {
+	usable := map[uint32]bool{}
+	for id := range v.Services {
+		for _, target := range v.Table.Targets(id) {
+			usable[target.ID] = v.Usable(target.ID)
+		}
+	}
+	return usable
+}
+
+// rehash recomputes the hashes of all flows after a change of the hash key.
+// Entries and queries with old hashes are useless and go.
+func (c *Core) rehash() {
+	c.byHash = make(map[uint64]*owned, len(c.flows))
+	for _, f := range c.flows {
+		f.hash = c.hash(f.key)
+		c.byHash[f.hash] = f
+	}
+	c.directory = newDirectory(c.limits)
+	for _, waiting := range c.pending {
+		c.release(waiting)
+	}
+}
+
+// ContactLost makes the agent unsettled, since others may have found it dead
+// and opened flows in its place.
+func (c *Core) ContactLost(now time.Time) {
+	c.settle.all(now.Add(c.limits.Window))
+}
+
+// Confirmed notes that a peer confirmed the revision in force.
+func (c *Core) Confirmed(now time.Time) {
+	if c.settle.unconfirmed {
+		c.settle.unconfirmed = false
+		c.settle.all(now.Add(c.limits.Window))
+	}
+}
+
+// resumeAfterPause voids what was in progress: held packets are old, and
+// replies to queries from before the pause may no longer hold.
+func (c *Core) resumeAfterPause(now time.Time) {
+	c.stats.Pauses++
+	c.settle.unconfirmed = true
+	for _, hash := range slices.Sorted(maps.Keys(c.pending)) {
+		waiting := c.pending[hash]
+		c.release(waiting)
+		for _, p := range waiting.packets {
+			c.drop(p, schema.ErrorKind_TOO_OLD, "the process was paused")
+		}
+	}
+}
+
+func (c *Core) candidates(service uint32, hash uint64) []uint32 {
+	var buf [placement.MaxCandidates]uint32
+	return c.view.Table.Candidates(service, hash, buf[:0])
+}
+
+// precedes reports whether a is an earlier candidate than b. A target that is
+// no candidate comes last; between two of those the lower ID is first.
+func (c *Core) precedes(service uint32, hash uint64, a, b uint32) bool {
+	order := c.candidates(service, hash)
+	i, j := slices.Index(order, a), slices.Index(order, b)
+	if i < 0 && j < 0 {
+		return a < b
+	}
+	return i >= 0 && (j < 0 || i < j)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -133,7 +133,7 @@
 // SameTargets reports whether a service has equal targets and weights in both
 // tables, so that every flow has the same candidates.
 func (t *Table) SameTargets(serviceID uint32, other *Table) bool {
-	if t.key0 != other.key0 || t.key1 != other.key1 {
+	if !t.SameKey(other) {
 		return false
 	}
 	a, b := t.services[serviceID], other.services[serviceID]
@@ -148,6 +148,19 @@
 	return true
 }
 
+// SameKey reports whether both tables hash flows with the same key.
+func (t *Table) SameKey(other *Table) bool {
+	return t.key0 == other.key0 && t.key1 == other.key1
+}
+
+// Targets returns the targets of a service in the order of their IDs.
+func (t *Table) Targets(serviceID uint32) []Weighted {
+	if s := t.services[serviceID]; s != nil {
+		return s.targets
+	}
+	return nil
+}
+
 // Services calls f with the ID of every service of the table.
 func (t *Table) Services(f func(id uint32)) {
 	for id := range t.services {
