Add the admission controller

Cause: an agent needs its own limit on requests and flows, since published health and load lag or mislead.

Connections and slots are separate limits; there is one bounded queue per member and class. Classes earn slot time at the rate of their floor and of their share; the most urgent class below its floor starts first, then below its share, then what is unused is lent. Slots are held back for more urgent classes that could not wait until a lent slot is free again. The concurrency limit adapts to shedding and slow service. FIFO is the baseline.

With the FIFO baseline in place of the queue bounds per member and class the check of the bounds fails (trial on a changed copy of the test).

Conclusion: usable by other packages; isolation is not yet measured.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+		fmt.Printf("%s=%s\n", name, value)
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+// classes are the classes of the tests.
+func classes() []*schema.Class {
+	return []*schema.Class{
+		{Name: "bid", Urgency: 30, FloorPercent: 30, Weight: 3, QueueLimit: 12},
+		{Name: "payment", Urgency: 20, FloorPercent: 20, Weight: 2, QueueLimit: 12},
+		{Name: "feed", Urgency: 10, FloorPercent: 10, Weight: 1, QueueLimit: 12},
+		{Name: "upload", Urgency: 1, FloorPercent: 10, Weight: 1, QueueLimit: 12},
+	}
+}
+
+func settings(slots int, a Algorithm) Settings {
+	members := map[string]uint32{"house": 3, "shop": 1}
+	return Settings{Slots: slots, Connections: 20, Capacity: 100, Members: members, Classes: classes(), Algorithm: a}
+}
+
+// Guards against a request that runs twice or above the limit, a queue that
+// grows past its bound, and queue room that is lost or given twice.
+func TestControllerInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		algorithm := rapid.SampledFrom([]Algorithm{WeightedFair, FIFO}).Draw(t, "algorithm")
+		c := New(settings(slots, algorithm), rand.New(rand.NewPCG(1, 2)))
+		now := epoch
+		held, running, started := []Ticket{}, []Ticket{}, map[Ticket]bool{}
+		take := func(from *[]Ticket) Ticket {
+			i := rapid.IntRange(0, len(*from)-1).Draw(t, "index")
+			ticket := (*from)[i]
+			*from = append((*from)[:i:i], (*from)[i+1:]...)
+			return ticket
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond)
+			op := rapid.IntRange(0, 9).Draw(t, "op")
+			switch {
+			case op < 3:
+				r := Request{Member: rapid.SampledFrom([]string{"house", "shop", "x"}).Draw(t, "member"),
+					Class:    rapid.SampledFrom([]string{"bid", "upload", "y"}).Draw(t, "class"),
+					Deadline: now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "deadline")) * time.Millisecond)}
+				if ticket, err := c.Reserve(now, r); err == nil {
+					held = append(held, ticket)
+				} else if !err.NotRun() {
+					t.Fatalf("refusal %v does not mean not run", err)
+				}
+			case op < 5 && len(held) > 0:
+				ticket := held[rapid.IntRange(0, len(held)-1).Draw(t, "index")]
+				c.Enqueue(now, ticket)
+				if c.Enqueue(now, ticket) {
+					t.Fatalf("ticket %d enqueued twice", ticket)
+				}
+			case op < 7:
+				if ticket, ok := c.Next(now); ok {
+					if started[ticket] {
+						t.Fatalf("ticket %d started twice", ticket)
+					}
+					started[ticket] = true
+					running = append(running, ticket)
+				}
+			case op == 7 && len(running) > 0:
+				r := Result{ServiceTime: time.Duration(rapid.IntRange(1, 300).Draw(t, "service")) * time.Millisecond}
+				r.Shed = rapid.Bool().Draw(t, "shed")
+				c.Done(now, take(&running), r)
+			case op == 8 && len(held) > 0:
+				c.Release(take(&held))
+			case op == 9:
+				for _, ticket := range c.Expired(now) {
+					if started[ticket] {
+						t.Fatalf("ticket %d expired after its start", ticket)
+					}
+					started[ticket] = true
+				}
+			}
+			checkCounts(t, c, slots, len(running))
+		}
+	})
+}
+
+func checkCounts(t *rapid.T, c *Controller, slots, running int) {
+	got, room := 0, 0
+	for _, s := range c.Stats() {
+		got += s.Running
+		room += s.Reserved + s.Queued
+		if limit := c.byName[s.Class].queueLimit; c.settings.Algorithm != FIFO && s.Reserved+s.Queued > limit {
+			t.Fatalf("%s %s: %d waiting, limit %d", s.Member, s.Class, s.Reserved+s.Queued, limit)
+		}
+	}
+	if got != running || got > slots || got != c.running || room != c.queueRoom {
+		t.Fatalf("running %d, want %d of %d slots; room %d, want %d", got, running, slots, c.queueRoom, room)
+	}
+}
+
+// Guards against a draining target that takes new work or drops admitted work,
+// and against one member that takes all connections of the other.
+func TestDrainingAndFlows(t *testing.T) {
+	c := qt.New(t)
+	a := New(settings(3, WeightedFair), rand.New(rand.NewPCG(1, 2)))
+	open := 0
+	for range 30 {
+		if a.OpenFlow(epoch, "house", "feed") == nil {
+			open++
+		}
+	}
+	c.Assert(open, qt.Equals, 15)
+	c.Assert(a.OpenFlow(epoch, "shop", "feed") == nil, qt.IsTrue)
+	ticket, refusal := a.Reserve(epoch, Request{Member: "shop", Class: "bid"})
+	c.Assert(refusal == nil, qt.IsTrue)
+	a.SetDraining(true)
+	_, refusal = a.Reserve(epoch, Request{Member: "shop", Class: "bid"})
+	c.Assert(refusal.Kind, qt.Equals, schema.ErrorKind_REFUSED_DRAINING)
+	c.Assert(a.OpenFlow(epoch, "shop", "feed").Kind, qt.Equals, schema.ErrorKind_REFUSED_DRAINING)
+	c.Assert(a.Enqueue(epoch, ticket), qt.IsTrue)
+	next, ok := a.Next(epoch)
+	c.Assert(ok && next == ticket, qt.IsTrue)
+	a.CloseFlow("house", "feed")
+	c.Assert(a.flows, qt.Equals, 15)
+}
--- /dev/null
+++ b/internal/admission/limit.go
@@ -0,0 +1,114 @@
+package admission
+
+import "time"
+
+const (
+	// shedFactor and slowFactor shrink the limit when the backend server sheds
+	// a request or slows down.
+	shedFactor = 0.7
+	slowFactor = 0.9
+	// slowRatio is the ratio of recent to usual service time that counts as slow.
+	slowRatio = 2.0
+	// recentWeight and usualWeight are the weights of one sample in the recent
+	// and the usual service time of a class.
+	recentWeight = 0.1
+	usualWeight  = 0.005
+	// slowStartGain is how much the limit grows with each completed request
+	// until it first reaches the configured slots or the first decrease.
+	slowStartGain = 0.25
+)
+
+// limiter adapts the number of concurrent requests below the configured slots.
+type limiter struct {
+	most      float64
+	limit     float64
+	slowStart bool
+	lastCut   time.Time
+	recent    map[*class]float64
+	usual     map[*class]float64
+}
+
+func newLimiter(s Settings) limiter {
+	l := limiter{
+		most:   float64(max(s.Slots, 1)),
+		recent: map[*class]float64{},
+		usual:  map[*class]float64{},
+	}
+	l.limit = l.most
+	if !s.Warm && s.Algorithm != FIFO {
+		l.coldStart()
+	}
+	return l
+}
+
+// coldStart lets one request run until the backend server has answered.
+func (l *limiter) coldStart() {
+	l.limit = 1
+	l.slowStart = true
+}
+
+// slots returns the number of requests that may run.
+func (l *limiter) slots() int {
+	return int(l.limit)
+}
+
+// observe adapts the limit to the result of one request, when busy requests were running.
+func (l *limiter) observe(now time.Time, cl *class, r Result, busy int) {
+	if r.Shed {
+		l.cut(now, cl, shedFactor)
+		return
+	}
+	if r.Failed {
+		return
+	}
+	if l.slow(cl, r.ServiceTime) {
+		l.cut(now, cl, slowFactor)
+		return
+	}
+	l.grow(busy)
+}
+
+// slow updates the service times of the class and reports whether the recent
+// one is far above the usual one.
+func (l *limiter) slow(cl *class, d time.Duration) bool {
+	sample := float64(d)
+	if _, known := l.usual[cl]; !known {
+		l.usual[cl], l.recent[cl] = sample, sample
+		return false
+	}
+	l.recent[cl] += recentWeight * (sample - l.recent[cl])
+	l.usual[cl] += usualWeight * (sample - l.usual[cl])
+	return l.recent[cl] > slowRatio*l.usual[cl]
+}
+
+// cut shrinks the limit, at most once per service time: requests that were
+// already running say nothing about the lower limit.
+func (l *limiter) cut(now time.Time, cl *class, factor float64) {
+	if !l.lastCut.IsZero() && now.Sub(l.lastCut) < cl.service.mean() {
+		return
+	}
+	l.lastCut = now
+	l.slowStart = false
+	l.limit = max(1, l.limit*factor)
+}
+
+// grow raises the limit by one slot per round of completed requests, and only
+// when the present limit was in use.
+func (l *limiter) grow(busy int) {
+	if busy < l.slots() {
+		return
+	}
+	gain := 1 / (l.limit * growRounds)
+	if l.slowStart {
+		gain = slowStartGain
+	}
+	l.limit = min(l.most, l.limit+gain)
+	if l.limit == l.most {
+		l.slowStart = false
+	}
+}
+
+// growRounds is the number of rounds after which a cut limit has grown by one
+// slot. A limit that grows back faster probes a shedding backend server, and
+// has a request shed, more often.
+const growRounds = 8
