Add the request state machine of the agent

Cause: an agent needs one authority that decides whether a request runs. Only tokens in the table are runnable, and no state leads back from the hand-over, so an evicted or foreign token is an unknown outcome.

--- /dev/null
+++ b/internal/offer/machine.go
@@ -0,0 +1,343 @@
+package offer
+
+import (
+	"container/list"
+	"sort"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/errkind"
+	"github.com/peridotstall/peridotstall/internal/fragment"
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+type openKey struct {
+	key       Key
+	requestID uint64
+}
+
+// Machine is the state machine. It is not safe for concurrent use.
+type Machine struct {
+	settings  Settings
+	admission Admission
+	draining  bool
+
+	sequence uint64
+	records  map[uint64]*record
+	opened   map[openKey]*record // latest record of a request ID
+	tickets  map[Ticket]*record
+	timers   timers
+
+	offers       int // records that are runnable
+	running      int
+	sessions     int
+	pendingBytes int
+	answers      *list.List // ended after the hand-over, oldest first
+	notRun       *list.List // ended without one, oldest first
+	answerBytes  int
+
+	out []Action
+}
+
+// New returns a Machine that reserves room with admission.
+func New(settings Settings, admission Admission) *Machine {
+	return &Machine{
+		settings:  settings,
+		admission: admission,
+		records:   make(map[uint64]*record),
+		opened:    make(map[openKey]*record),
+		tickets:   make(map[Ticket]*record),
+		answers:   list.New(),
+		notRun:    list.New(),
+	}
+}
+
+// Stats are current counts.
+type Stats struct {
+	Offers, Running, Sessions, Retained int
+	PendingBytes, RetainedBytes         int
+}
+
+// Stats returns the current counts.
+func (m *Machine) Stats() Stats {
+	return Stats{
+		Offers:        m.offers,
+		Running:       m.running,
+		Sessions:      m.sessions,
+		Retained:      m.answers.Len() + m.notRun.Len(),
+		PendingBytes:  m.pendingBytes,
+		RetainedBytes: m.answerBytes,
+	}
+}
+
+func (m *Machine) emit(a Action) {
+	m.out = append(m.out, a)
+}
+
+func (m *Machine) flush() []Action {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// Handle takes a packet of a caller.
+func (m *Machine) Handle(now time.Time, from Peer, service Service, p *schema.CallerPacket) []Action {
+	key := Key{Service: service.ID, Caller: from.Caller}
+	if open := p.GetOpen(); open != nil {
+		m.open(now, from, service, p.RequestId, open)
+		return m.flush()
+	}
+	if p.Token == nil {
+		m.withoutToken(now, key, p)
+		return m.flush()
+	}
+	m.withToken(now, key, p)
+	m.start(now)
+	return m.flush()
+}
+
+// withoutToken takes a cancellation by a caller that has no offer yet.
+func (m *Machine) withoutToken(now time.Time, key Key, p *schema.CallerPacket) {
+	r := m.opened[openKey{key, p.RequestId}]
+	if p.GetCancel() == nil || r == nil || r.state != stateOffered {
+		m.drop(key, 0, "no token")
+		return
+	}
+	m.giveUp(now, r, schema.ErrorKind_CANCELLED_NOT_RUN, "cancelled by the caller")
+}
+
+func (m *Machine) withToken(now time.Time, key Key, p *schema.CallerPacket) {
+	if p.Token.Target != m.settings.Target {
+		m.drop(key, p.Token.Sequence, "token of another target")
+		return
+	}
+	r := m.records[p.Token.Sequence]
+	if p.Token.Incarnation != m.settings.Incarnation {
+		m.replyUnknown(key, p, "the owner was restarted")
+		return
+	}
+	if r == nil {
+		m.replyUnknown(key, p, "the token is no longer known")
+		return
+	}
+	if r.key != key || r.requestID != p.RequestId {
+		m.drop(key, r.sequence, "token of another request")
+		return
+	}
+	if r.session {
+		m.sessionPacket(now, r, p)
+		return
+	}
+	m.requestPacket(now, r, p)
+}
+
+// replyUnknown answers a token that is not in the table. It never says "not
+// run", since an earlier incarnation or an evicted record may have run it.
+func (m *Machine) replyUnknown(key Key, p *schema.CallerPacket, detail string) {
+	kind := schema.ErrorKind_UNKNOWN_OUTCOME
+	switch p.Body.(type) {
+	case *schema.CallerPacket_Ping, *schema.CallerPacket_Data:
+		kind = schema.ErrorKind_UNKNOWN_FLOW
+	case *schema.CallerPacket_Request, *schema.CallerPacket_Ack, *schema.CallerPacket_Cancel:
+	default:
+		m.drop(key, p.Token.Sequence, detail)
+		return
+	}
+	reply := outcomePacket(kind, detail)
+	reply.RequestId = p.RequestId
+	reply.Token = p.Token
+	m.emit(Send{key, reply})
+	m.emit(Fact{PacketDropped, key, p.Token.Sequence, kind, detail})
+}
+
+func (m *Machine) drop(key Key, sequence uint64, detail string) {
+	m.emit(Fact{Event: PacketDropped, Key: key, Sequence: sequence, Detail: detail})
+}
+
+// open answers an opening with an offer or a refusal.
+func (m *Machine) open(now time.Time, from Peer, service Service, id uint64, o *schema.Open) {
+	key := Key{Service: service.ID, Caller: from.Caller}
+	if r := m.opened[openKey{key, id}]; r != nil {
+		if r.state == stateOffered {
+			m.sendOffer(now, r)
+			return
+		}
+		if r.state != stateEnded || o.Attempt <= r.attempt {
+			m.drop(key, r.sequence, "late opening")
+			return
+		}
+	}
+	r := &record{
+		key:        key,
+		requestID:  id,
+		attempt:    o.Attempt,
+		member:     service.Member,
+		class:      o.Class,
+		idempotent: o.Idempotent,
+		session:    o.Session,
+		size:       int(o.Size),
+		state:      stateOffered,
+		deadline:   now.Add(min(time.Duration(o.DeadlineMs)*time.Millisecond, MaxDeadline)),
+		expires:    now.Add(OfferLife),
+	}
+	if refusal := m.admit(now, from, r, o); refusal != nil {
+		m.refuse(key, id, refusal)
+		return
+	}
+	m.add(r)
+	m.schedule(r, r.expires)
+	m.emit(Fact{Event: OfferMade, Key: key, Sequence: r.sequence})
+	m.sendOffer(now, r)
+}
+
+func (m *Machine) add(r *record) {
+	m.sequence++
+	r.sequence = m.sequence
+	m.records[r.sequence] = r
+	m.opened[openKey{r.key, r.requestID}] = r
+	m.offers++
+	if r.session {
+		return
+	}
+	m.tickets[r.ticket] = r
+	m.pendingBytes += r.size
+}
+
+// admit applies the bounds of the machine, then asks admission.
+func (m *Machine) admit(now time.Time, from Peer, r *record, o *schema.Open) *errkind.Error {
+	if from.Age > MaxOpenAge {
+		return errkind.New(schema.ErrorKind_TOO_OLD, "age %d ms, limit %d ms", from.Age.Milliseconds(), MaxOpenAge.Milliseconds())
+	}
+	if m.draining {
+		return errkind.New(schema.ErrorKind_REFUSED_DRAINING, "")
+	}
+	for _, tried := range o.Tried {
+		if tried == m.settings.Target {
+			return errkind.New(schema.ErrorKind_REFUSED_NO_TARGET, "target %d refused before", tried)
+		}
+	}
+	if o.Size > fragment.MaxSize {
+		return errkind.New(schema.ErrorKind_TOO_LARGE, "%d bytes, limit %d", o.Size, fragment.MaxSize)
+	}
+	if o.DeadlineMs == 0 {
+		return errkind.New(schema.ErrorKind_REFUSED_DEADLINE, "no time left")
+	}
+	if m.offers >= MaxOffers {
+		return errkind.New(schema.ErrorKind_REFUSED_OVERLOAD, "%d offers, limit %d", m.offers, MaxOffers)
+	}
+	if r.session {
+		return m.admission.OpenFlow(now, r.member, r.class)
+	}
+	if m.pendingBytes+r.size > MaxPendingBytes {
+		return errkind.New(schema.ErrorKind_REFUSED_OVERLOAD, "%d bytes pending, limit %d", m.pendingBytes, MaxPendingBytes)
+	}
+	ticket, refusal := m.admission.Reserve(now, Request{
+		Member:   r.member,
+		Class:    r.class,
+		Deadline: r.deadline,
+		Bytes:    r.size,
+	})
+	r.ticket = ticket
+	return refusal
+}
+
+func (m *Machine) refuse(key Key, id uint64, refusal *errkind.Error) {
+	m.emit(Send{key, &schema.CallerPacket{
+		RequestId: id,
+		Body: &schema.CallerPacket_Refusal{Refusal: &schema.Refusal{
+			Kind:   refusal.Kind,
+			Target: m.settings.Target,
+			Detail: clip(refusal.Detail),
+		}},
+	}})
+	m.emit(Fact{Event: OpenRefused, Key: key, Kind: refusal.Kind, Detail: refusal.Detail})
+}
+
+func (m *Machine) sendOffer(now time.Time, r *record) {
+	left := max(r.expires.Sub(now), 0)
+	m.reply(r, &schema.CallerPacket{Body: &schema.CallerPacket_Offer{Offer: &schema.Offer{
+		ExpiresMs: uint32(left.Milliseconds()),
+	}}})
+}
+
+// Tick expires offers, deadlines, sessions and retained outcomes, retransmits
+// answers and starts queued requests. A call every 10 ms is enough.
+func (m *Machine) Tick(now time.Time) []Action {
+	for _, r := range m.due(now) {
+		m.wake(now, r)
+	}
+	m.start(now)
+	return m.flush()
+}
+
+// wake applies what time alone does to a record.
+func (m *Machine) wake(now time.Time, r *record) {
+	switch r.state {
+	case stateOffered, stateAssembling:
+		m.wakeOffer(now, r)
+	case stateQueued:
+		m.wakeQueued(now, r)
+	case stateRunning:
+		m.wakeRunning(now, r)
+	case stateSession:
+		m.wakeSession(now, r)
+	case stateEnded:
+		m.wakeEnded(now, r)
+	}
+}
+
+// ClockJump gives up everything that was not handed over: the process was
+// paused, and its callers may have gone elsewhere.
+func (m *Machine) ClockJump(now time.Time) []Action {
+	for _, r := range m.ordered() {
+		if r.state.runnable() {
+			m.giveUp(now, r, schema.ErrorKind_OFFER_EXPIRED, "clock jump of the agent")
+		}
+		if r.state == stateSession {
+			r.lastSeen = now
+		}
+	}
+	m.start(now)
+	return m.flush()
+}
+
+// SetDraining refuses new work. Offers of which nothing arrived are withdrawn,
+// since a leaving target gets no new work; requests that began to arrive finish.
+func (m *Machine) SetDraining(now time.Time, draining bool) []Action {
+	m.draining = draining
+	m.admission.SetDraining(draining)
+	if !draining {
+		return nil
+	}
+	for _, r := range m.ordered() {
+		if r.state == stateOffered {
+			m.giveUp(now, r, schema.ErrorKind_REFUSED_DRAINING, "")
+		}
+	}
+	return m.flush()
+}
+
+// ordered returns the records by sequence, so that actions do not depend on the
+// order of a map.
+func (m *Machine) ordered() []*record {
+	out := make([]*record, 0, len(m.records))
+	for _, r := range m.records {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].sequence < out[j].sequence })
+	return out
+}
+
+// reply sends a packet of the record's token.
+func (m *Machine) reply(r *record, p *schema.CallerPacket) {
+	p.RequestId = r.requestID
+	p.Token = m.token(r)
+	m.emit(Send{r.key, p})
+}
+
+func (m *Machine) token(r *record) *schema.Token {
+	return &schema.Token{
+		Target:      m.settings.Target,
+		Incarnation: m.settings.Incarnation,
+		Sequence:    r.sequence,
+	}
+}
--- /dev/null
+++ b/internal/offer/retain.go
@@ -0,0 +1,156 @@
+package offer
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// giveUp ends a request that was not handed over and returns its room.
+func (m *Machine) giveUp(now time.Time, r *record, kind schema.ErrorKind, detail string) {
+	if r.session {
+		m.admission.CloseFlow(r.member, r.class)
+	} else {
+		m.admission.Release(r.ticket)
+		delete(m.tickets, r.ticket)
+	}
+	m.endNotRun(now, r, kind, detail)
+}
+
+// endNotRun records the end of a request that will never be handed over.
+func (m *Machine) endNotRun(now time.Time, r *record, kind schema.ErrorKind, detail string) {
+	r.move(stateEnded)
+	m.offers--
+	if !r.session {
+		m.pendingBytes -= r.size
+	}
+	r.request = nil
+	m.end(now, r, kind, detail, m.notRun)
+}
+
+// endAfterHandOver records the outcome of a request at the backend server.
+func (m *Machine) endAfterHandOver(now time.Time, r *record, kind schema.ErrorKind, detail string) {
+	r.move(stateEnded)
+	m.end(now, r, kind, detail, m.answers)
+}
+
+func (m *Machine) end(now time.Time, r *record, kind schema.ErrorKind, detail string, retain *list.List) {
+	r.kind = kind
+	r.detail = detail
+	r.retain = retain
+	r.element = retain.PushBack(r)
+	m.setRetention(now, r)
+	m.emit(Fact{RequestEnded, r.key, r.sequence, kind, detail})
+	m.trim()
+}
+
+// setRetention starts the retention period of an ended request.
+func (m *Machine) setRetention(now time.Time, r *record) {
+	r.expires = now.Add(RetainAfterEnd)
+	if limit := r.deadline.Add(RetainAfterDeadline); limit.Before(r.expires) {
+		r.expires = limit
+	}
+	m.schedule(r, r.expires)
+}
+
+// trim evicts the oldest ended requests above the bounds. A request that is
+// still at the backend server stays, because its slot is not free; slots bound
+// the number of these.
+func (m *Machine) trim() {
+	for m.answers.Len() > MaxRetained || m.answerBytes > MaxRetainedBytes {
+		if !m.evictOldest(m.answers) {
+			break
+		}
+	}
+	for m.notRun.Len() > MaxRetained {
+		m.evictOldest(m.notRun)
+	}
+}
+
+func (m *Machine) evictOldest(from *list.List) bool {
+	for e := from.Front(); e != nil; e = e.Next() {
+		r := e.Value.(*record)
+		if r.atBack {
+			continue
+		}
+		if r.answer != nil {
+			m.emit(Fact{Event: AnswerEvicted, Key: r.key, Sequence: r.sequence})
+		}
+		m.forget(r)
+		return true
+	}
+	return false
+}
+
+// forget removes an ended record. Its token stays unusable, because only tokens
+// in the table are runnable.
+func (m *Machine) forget(r *record) {
+	m.releaseAnswer(r)
+	if r.element != nil {
+		r.retain.Remove(r.element)
+		r.element = nil
+	}
+	delete(m.records, r.sequence)
+	if k := (openKey{r.key, r.requestID}); m.opened[k] == r {
+		delete(m.opened, k)
+	}
+}
+
+func (m *Machine) releaseAnswer(r *record) {
+	m.answerBytes -= r.bytes
+	r.bytes = 0
+	r.answer = nil
+}
+
+func (m *Machine) wakeOffer(now time.Time, r *record) {
+	began := r.state == stateAssembling
+	if m.lapsed(now, r) {
+		if began {
+			m.sendOutcome(r)
+		}
+		return
+	}
+	m.schedule(r, earlier(r.expires, r.deadline))
+}
+
+func (m *Machine) wakeQueued(now time.Time, r *record) {
+	if now.Before(r.deadline) {
+		m.schedule(r, r.deadline)
+		return
+	}
+	m.giveUp(now, r, schema.ErrorKind_REFUSED_DEADLINE, "the deadline passed in the queue")
+	m.sendOutcome(r)
+}
+
+func (m *Machine) wakeRunning(now time.Time, r *record) {
+	if now.Before(r.deadline) {
+		m.schedule(r, r.deadline)
+		return
+	}
+	m.emit(CancelRequest{r.sequence})
+	m.endAfterHandOver(now, r, schema.ErrorKind_DEADLINE_EXCEEDED, "the deadline passed at the backend server")
+	m.sendOutcome(r)
+}
+
+// wakeEnded forgets an ended request or retransmits its answer.
+func (m *Machine) wakeEnded(now time.Time, r *record) {
+	if r.atBack {
+		return // BackendDone starts the retention
+	}
+	if !now.Before(r.expires) {
+		m.forget(r)
+		return
+	}
+	if r.answer != nil && r.answer.Rounds() < maxAnswerRounds {
+		m.sendAnswer(now, r)
+	}
+	m.schedule(r, r.expires)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
