--- /dev/null
+++ b/internal/telemetry/event.go
@@ -0,0 +1,95 @@
+package telemetry
+
+import (
+	"github.com/charmbracelet/log"
+)
+
+// Event is an entry of the catalogue of log events. Operators' alerts refer to
+// the number, so a number is never reused for another meaning.
+type Event struct {
+	// Number identifies the event.
+	Number int
+	// Level is the level at which the event is logged.
+	Level log.Level
+	// Name is the number's readable form.
+	Name string
+	// Message is the text for people.
+	Message string
+	// Fields are the keys that come with the event, in order.
+	Fields []string
+	// Limited events are logged with LogLimited, because a flood of packets
+	// would otherwise become a flood of log lines.
+	Limited bool
+}
+
+// Events of the process: 100 to 199.
+var (
+	ProcessStarted = Event{Number: 100, Level: log.InfoLevel, Name: "process_started",
+		Message: "process started", Fields: []string{"role", "host", "zone"}}
+	ProcessReady = Event{Number: 101, Level: log.InfoLevel, Name: "process_ready",
+		Message: "process is serving", Fields: []string{"role", "revision"}}
+	StopBegun = Event{Number: 102, Level: log.InfoLevel, Name: "stop_begun",
+		Message: "graceful shutdown begun", Fields: []string{"reason", "limit"}}
+	Stopped = Event{Number: 103, Level: log.InfoLevel, Name: "stopped",
+		Message: "process stopped", Fields: []string{"cut_flows", "cut_requests"}}
+	ClockJump = Event{Number: 110, Level: log.WarnLevel, Name: "clock_jump",
+		Message: "process was paused; offers and queued openings are dropped", Fields: []string{"jump"}}
+)
+
+// Events of the configuration: 200 to 299.
+var (
+	ConfigAccepted = Event{Number: 200, Level: log.InfoLevel, Name: "config_accepted",
+		Message: "configuration accepted", Fields: []string{"revision", "previous", "source"}}
+	ConfigLower = Event{Number: 201, Level: log.WarnLevel, Name: "config_rejected_lower",
+		Message: "configuration rejected: lower revision", Fields: []string{"revision", "current", "source"}}
+	ConfigConflict = Event{Number: 202, Level: log.ErrorLevel, Name: "config_rejected_conflict",
+		Message: "configuration rejected: same revision with another digest",
+		Fields:  []string{"revision", "digest", "current_digest", "source"}}
+	ConfigInvalid = Event{Number: 203, Level: log.ErrorLevel, Name: "config_rejected_invalid",
+		Message: "configuration rejected: invalid content", Fields: []string{"revision", "faults", "source"}}
+	ConfigServiceUnreachable = Event{Number: 204, Level: log.WarnLevel, Name: "config_service_unreachable",
+		Message: "configuration service is unreachable", Fields: []string{"url", "error"}}
+	ConfigServiceReachable = Event{Number: 205, Level: log.InfoLevel, Name: "config_service_reachable",
+		Message: "configuration service is reachable again", Fields: []string{"url", "outage"}}
+)
+
+// Events of the membership: 300 to 399.
+var (
+	HostDead = Event{Number: 300, Level: log.WarnLevel, Name: "host_dead",
+		Message: "host is considered failed", Fields: []string{"host", "incarnation", "probers"}}
+	HostBack = Event{Number: 301, Level: log.InfoLevel, Name: "host_back",
+		Message: "host answers again", Fields: []string{"host", "incarnation"}}
+	OwnLinkDoubted = Event{Number: 302, Level: log.WarnLevel, Name: "own_link_doubted",
+		Message: "too many peers appear failed at once; own link is suspected", Fields: []string{"failed", "probed"}}
+	OwnLinkTrusted = Event{Number: 303, Level: log.InfoLevel, Name: "own_link_trusted",
+		Message: "peers answer again; own link is trusted", Fields: []string{"failed", "probed"}}
+)
+
+// Events of the flows: 400 to 499.
+var (
+	FlowOpenedOutOfOrder = Event{Number: 400, Level: log.InfoLevel, Name: "flow_opened_out_of_order",
+		Message: "flow opened by a target that is not its first candidate",
+		Fields:  []string{"service", "flow", "position"}}
+	HandoverTimeout = Event{Number: 401, Level: log.WarnLevel, Name: "handover_query_timeout",
+		Message: "a queried candidate did not answer", Fields: []string{"service", "flow", "missing", "action"}}
+)
+
+// Events of packets and work: 500 to 599.
+var (
+	PacketDropped = Event{Number: 500, Level: log.WarnLevel, Name: "packet_dropped",
+		Message: "packets dropped", Fields: []string{"service", "kind", "count"}, Limited: true}
+	Refused = Event{Number: 501, Level: log.InfoLevel, Name: "refused",
+		Message: "work refused, not run", Fields: []string{"service", "kind", "count"}, Limited: true}
+)
+
+// Events returns the catalogue, ordered by number.
+func Events() []Event {
+	return []Event{
+		ProcessStarted, ProcessReady, StopBegun, Stopped, ClockJump,
+		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
+		ConfigServiceUnreachable, ConfigServiceReachable,
+		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted,
+		FlowOpenedOutOfOrder, HandoverTimeout,
+		PacketDropped, Refused,
+	}
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,166 @@
+package telemetry
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// kindCount is one more than the highest number of an error kind.
+const kindCount = int(schema.ErrorKind_INTERNAL) + 1
+
+// kindIndex maps a kind outside the list to INTERNAL, as errkind does.
+func kindIndex(kind schema.ErrorKind) int {
+	if kind < 0 || int(kind) >= kindCount {
+		return int(schema.ErrorKind_INTERNAL)
+	}
+	return int(kind)
+}
+
+var (
+	// root holds one map per role instance. It is published once, because
+	// expvar panics when a name is published twice.
+	root   = expvar.NewMap("peridotstall")
+	rootMu sync.Mutex
+)
+
+// Counter is a count that only grows.
+type Counter struct{ value expvar.Int }
+
+// Inc adds one.
+func (c *Counter) Inc() { c.value.Add(1) }
+
+// Add adds n, which must not be negative.
+func (c *Counter) Add(n int) { c.value.Add(int64(n)) }
+
+// Value returns the count.
+func (c *Counter) Value() int64 { return c.value.Value() }
+
+// Gauge is a figure that goes up and down.
+type Gauge struct{ value expvar.Int }
+
+// Set replaces the figure.
+func (g *Gauge) Set(n int64) { g.value.Set(n) }
+
+// Add changes the figure by n.
+func (g *Gauge) Add(n int64) { g.value.Add(n) }
+
+// Value returns the figure.
+func (g *Gauge) Value() int64 { return g.value.Value() }
+
+// Metrics are the figures of one role instance. They are safe for concurrent use.
+type Metrics struct {
+	// PacketsIn and PacketsOut count datagrams of callers and of backend servers.
+	PacketsIn, PacketsOut Counter
+	// FramesIn and FramesOut count tunnel frames.
+	FramesIn, FramesOut Counter
+	// ControlBytesOut counts bytes of frames that carry no packet.
+	ControlBytesOut Counter
+	// Flows is the number of open flows; FlowsOpened, FlowsOutOfOrder and
+	// FlowsCut count events.
+	Flows                                  Gauge
+	FlowsOpened, FlowsOutOfOrder, FlowsCut Counter
+	// Queries and QueryTimeouts count handover queries.
+	Queries, QueryTimeouts Counter
+	// DirectoryEntries and BufferedPackets are present sizes.
+	DirectoryEntries, BufferedPackets Gauge
+	// Requests is the number of requests queued or running; Offers,
+	// RequestsRun and RequestsCut count events.
+	Requests                         Gauge
+	Offers, RequestsRun, RequestsCut Counter
+	// Connections is the number of relayed TCP connections;
+	// ConnectionsOpened and ConnectionsCut count events.
+	Connections                       Gauge
+	ConnectionsOpened, ConnectionsCut Counter
+	// RelayedBytes counts bytes copied in both directions.
+	RelayedBytes Counter
+	// Revision is the revision in force; ConfigRejected counts rejections.
+	Revision       Gauge
+	ConfigRejected Counter
+
+	kinds [kindCount]Counter
+	vars  *expvar.Map
+	name  string
+}
+
+// NewMetrics returns the figures of an instance, for example of role AGENT on
+// host "a1", and adds them to the published map as "agent/a1". While another
+// instance has that name, a number is added ("agent/a1#2"), since two instances
+// in one process may use the same host name.
+func NewMetrics(role schema.Role, host string) *Metrics {
+	m := &Metrics{vars: new(expvar.Map)}
+	m.counter("packets_in", &m.PacketsIn)
+	m.counter("packets_out", &m.PacketsOut)
+	m.counter("frames_in", &m.FramesIn)
+	m.counter("frames_out", &m.FramesOut)
+	m.counter("control_bytes_out", &m.ControlBytesOut)
+	m.gauge("flows", &m.Flows)
+	m.counter("flows_opened", &m.FlowsOpened)
+	m.counter("flows_out_of_order", &m.FlowsOutOfOrder)
+	m.counter("flows_cut", &m.FlowsCut)
+	m.counter("queries", &m.Queries)
+	m.counter("query_timeouts", &m.QueryTimeouts)
+	m.gauge("directory_entries", &m.DirectoryEntries)
+	m.gauge("buffered_packets", &m.BufferedPackets)
+	m.gauge("requests", &m.Requests)
+	m.counter("offers", &m.Offers)
+	m.counter("requests_run", &m.RequestsRun)
+	m.counter("requests_cut", &m.RequestsCut)
+	m.gauge("connections", &m.Connections)
+	m.counter("connections_opened", &m.ConnectionsOpened)
+	m.counter("connections_cut", &m.ConnectionsCut)
+	m.counter("relayed_bytes", &m.RelayedBytes)
+	m.gauge("revision", &m.Revision)
+	m.counter("config_rejected", &m.ConfigRejected)
+	m.vars.Set("errors", m.kindVars())
+	m.publish(strings.ToLower(role.String()) + "/" + host)
+	return m
+}
+
+func (m *Metrics) counter(name string, c *Counter) { m.vars.Set(name, &c.value) }
+
+func (m *Metrics) gauge(name string, g *Gauge) { m.vars.Set(name, &g.value) }
+
+func (m *Metrics) kindVars() *expvar.Map {
+	kinds := new(expvar.Map)
+	for number := 1; number < kindCount; number++ {
+		kinds.Set(schema.ErrorKind(number).String(), &m.kinds[number].value)
+	}
+	return kinds
+}
+
+func (m *Metrics) publish(name string) {
+	rootMu.Lock()
+	defer rootMu.Unlock()
+	m.name = name
+	for n := 2; root.Get(m.name) != nil; n++ {
+		m.name = fmt.Sprintf("%s#%d", name, n)
+	}
+	root.Set(m.name, m.vars)
+}
+
+// Name returns the key of the instance in the published map.
+func (m *Metrics) Name() string { return m.name }
+
+// Error counts an error of a kind.
+func (m *Metrics) Error(kind schema.ErrorKind) { m.kinds[kindIndex(kind)].Inc() }
+
+// Errors returns the count of a kind.
+func (m *Metrics) Errors(kind schema.ErrorKind) int64 { return m.kinds[kindIndex(kind)].Value() }
+
+// Func adds a figure that is computed when the metrics are read.
+func (m *Metrics) Func(name string, f func() any) { m.vars.Set(name, expvar.Func(f)) }
+
+// Close removes the instance from the published map.
+func (m *Metrics) Close() {
+	rootMu.Lock()
+	defer rootMu.Unlock()
+	root.Delete(m.name)
+}
+
+// Handler serves the metrics of the process as JSON.
+func Handler() http.Handler { return expvar.Handler() }
