--- /dev/null
+++ b/internal/config/history.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// maxRetired bounds the IDs that a store remembers after they were removed, per
+// kind. At 3,200 hosts replaced a day with 8 targets each it lasts for more
+// than two days, which is longer than any flow entry with such an ID.
+const maxRetired = 65_536
+
+// usedIDs knows the names that accepted revisions used IDs for. A target is
+// named by its host.
+type usedIDs struct {
+	current  *Snapshot
+	services retiredNames
+	targets  retiredNames
+}
+
+// retiredNames remembers the names of removed IDs, oldest first out.
+type retiredNames struct {
+	names map[uint32]string
+	order []uint32
+	next  int
+}
+
+func (r *retiredNames) add(id uint32, name string) {
+	if r.names == nil {
+		r.names = map[uint32]string{}
+	}
+	if _, known := r.names[id]; known {
+		return
+	}
+	r.names[id] = name
+	if len(r.order) < maxRetired {
+		r.order = append(r.order, id)
+		return
+	}
+	delete(r.names, r.order[r.next])
+	r.order[r.next] = id
+	r.next = (r.next + 1) % maxRetired
+}
+
+func (u *usedIDs) service(id uint32) (string, bool) {
+	if s, ok := u.current.services.find(id); ok {
+		return s.GetName(), true
+	}
+	name, ok := u.services.names[id]
+	return name, ok
+}
+
+func (u *usedIDs) target(id uint32) (string, bool) {
+	if t, ok := u.current.targets.find(id); ok {
+		return t.GetHost(), true
+	}
+	name, ok := u.targets.names[id]
+	return name, ok
+}
+
+// advance makes next the current snapshot and remembers what it removed, which
+// d lists.
+func (u *usedIDs) advance(next *Snapshot, d *schema.ConfigDelta) {
+	for _, id := range d.GetRemovedServices() {
+		if s, ok := u.current.services.find(id); ok {
+			u.services.add(id, s.GetName())
+		}
+	}
+	for _, id := range d.GetRemovedTargets() {
+		if t, ok := u.current.targets.find(id); ok {
+			u.targets.add(id, t.GetHost())
+		}
+	}
+	u.current = next
+}
+
+// checkReuse reports IDs that an earlier revision used for another name. Late
+// packets and directory entries with such an ID would reach the wrong service.
+func (b *builder) checkReuse() {
+	if b.used == nil {
+		return
+	}
+	for _, r := range b.services.put {
+		if name, ok := b.used.service(r.key); ok && name != r.item.GetName() {
+			b.at(keyed(servicePlace, r.key), "id", r.key, reused(name, r.item.GetName()))
+		}
+	}
+	for _, r := range b.targets.put {
+		if name, ok := b.used.target(r.key); ok && name != r.item.GetHost() {
+			b.at(keyed(targetPlace, r.key), "id", r.key, reused(name, r.item.GetHost()))
+		}
+	}
+}
+
+func reused(earlier, name string) string {
+	return fmt.Sprintf("an ID that was not used before: an accepted revision used it for %q, this one for %q", earlier, name)
+}
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,220 @@
+package config
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+const testWindow = 6 * time.Second
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func offered(t testing.TB, configs ...*schema.Config) *Store {
+	s := NewStore(testWindow)
+	for _, c := range configs {
+		decision, err := s.Offer(start, c)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, decision, qt.Equals, Accepted)
+	}
+	return s
+}
+
+// Guards against a revision that is lowered, replaced by other content, or
+// given up for invalid content.
+func TestOfferDecisions(t *testing.T) {
+	rename := func(c *schema.Config) { c.Services[0].Labels["tier"] = "other" }
+	for _, test := range []struct {
+		about string
+		offer *schema.Config
+		want  Decision
+		fails bool
+	}{
+		{"same", testConfig(5), Same, false},
+		{"lower", testConfig(4), Lower, true},
+		{"higher", testConfig(6), Accepted, false},
+		{"same revision, other content", changed(5, rename), Conflict, true},
+		{"same revision, other hash key", changed(5, func(c *schema.Config) { c.HashKey[0]++ }), Conflict, true},
+		{"same revision, other declared digest", changed(5, func(c *schema.Config) { c.Digest = make([]byte, 16) }), Conflict, true},
+		{"invalid", changed(6, func(c *schema.Config) { c.Targets[0].Capacity = 0 }), Invalid, true},
+		{"service ID reused", changed(6, func(c *schema.Config) { c.Services[0].Name = "other" }), Invalid, true},
+		{"target ID reused", changed(6, func(c *schema.Config) { c.Targets[0].Host = "other" }), Invalid, true},
+		{"none", nil, Lower, true},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			s := offered(t, testConfig(5))
+			decision, err := s.Offer(start, test.offer)
+			c.Check(decision, qt.Equals, test.want, qt.Commentf("%v", err))
+			c.Check(err != nil, qt.Equals, test.fails)
+			if test.want == Accepted {
+				c.Check(s.Current().Revision(), qt.Equals, uint64(6))
+				return
+			}
+			c.Check(s.Current().Revision(), qt.Equals, uint64(5))
+			c.Check(targetIDs(s.Current(), 2), qt.DeepEquals, []uint32{3, 4})
+		})
+	}
+}
+
+// Guards against an ID that is used for another name after it was removed.
+func TestRemovedIDIsNotReused(t *testing.T) {
+	c := qt.New(t)
+	without := changed(2, func(c *schema.Config) { c.Services = c.Services[1:] })
+	s := offered(t, testConfig(1), without)
+	decision, err := s.Offer(start, changed(3, func(c *schema.Config) { c.Services[0].Name = "other" }))
+	c.Check(decision, qt.Equals, Invalid)
+	c.Check(err, qt.ErrorMatches, `(?s).*services\[id=2\]\.id: 2 is not allowed.*"images".*"other".*`)
+	decision, err = s.Offer(start, testConfig(3))
+	c.Check(err, qt.IsNil)
+	c.Check(decision, qt.Equals, Accepted)
+}
+
+// Guards against earlier snapshots that are kept too long or handed out in the
+// wrong order.
+func TestPreviousWithinWindow(t *testing.T) {
+	c := qt.New(t)
+	s := NewStore(testWindow)
+	for i, at := range []time.Duration{0, time.Second, 4 * time.Second} {
+		_, err := s.Offer(start.Add(at), changed(uint64(i+1), func(c *schema.Config) { c.Members[0].Weight = uint32(i + 1) }))
+		c.Assert(err, qt.IsNil)
+	}
+	revisions := func(at time.Duration) []uint64 {
+		var out []uint64
+		for _, p := range s.Previous(start.Add(at)) {
+			out = append(out, p.Revision())
+		}
+		return out
+	}
+	c.Check(revisions(5*time.Second), qt.DeepEquals, []uint64{2, 1})
+	c.Check(revisions(8*time.Second), qt.DeepEquals, []uint64{2})
+	c.Check(revisions(10*time.Second), qt.HasLen, 0)
+}
+
+// Guards against deltas that are applied to the wrong base or not verified.
+func TestOfferDeltaDecisions(t *testing.T) {
+	two := changed(2, func(c *schema.Config) { c.Targets = c.Targets[:3]; c.Members[0].Weight = 9 })
+	s := offered(t, testConfig(1), two)
+	delta, ok := s.Delta(1)
+	qt.Assert(t, ok, qt.IsTrue)
+	other := changed(1, func(c *schema.Config) { c.Members[1].Weight = 77 })
+	for _, test := range []struct {
+		about  string
+		base   *schema.Config
+		change func(d *schema.ConfigDelta)
+		want   Decision
+	}{
+		{"fits", testConfig(1), func(d *schema.ConfigDelta) {}, Accepted},
+		{"repeated", two, func(d *schema.ConfigDelta) {}, Same},
+		{"conflict", two, func(d *schema.ConfigDelta) { d.Digest[0]++ }, Conflict},
+		{"lower", changed(3, func(*schema.Config) {}), func(d *schema.ConfigDelta) {}, Lower},
+		{"gap", testConfig(1), func(d *schema.ConfigDelta) { d.FromRevision, d.ToRevision = 2, 3 }, NeedFull},
+		{"base has other content", other, func(d *schema.ConfigDelta) {}, NeedFull},
+		{"item altered", testConfig(1), func(d *schema.ConfigDelta) { d.Members[0].Weight++ }, NeedFull},
+		{"no digest", testConfig(1), func(d *schema.ConfigDelta) { d.Digest = nil }, Invalid},
+		{"backwards", testConfig(1), func(d *schema.ConfigDelta) { d.FromRevision = 3 }, Invalid},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			s := offered(t, proto.Clone(test.base).(*schema.Config))
+			d := proto.Clone(delta).(*schema.ConfigDelta)
+			test.change(d)
+			decision, err := s.OfferDelta(start, d)
+			c.Check(decision, qt.Equals, test.want, qt.Commentf("%v", err))
+			c.Check(err == nil, qt.Equals, test.want == Accepted || test.want == Same)
+		})
+	}
+	decision, _ := NewStore(testWindow).OfferDelta(start, delta)
+	qt.Check(t, decision, qt.Equals, NeedFull)
+}
+
+// drawConfig returns one of few contents, some of them invalid.
+func drawConfig(t *rapid.T, revision uint64) *schema.Config {
+	c := testConfig(revision)
+	c.Members[0].Weight = rapid.Uint32Range(0, 3).Draw(t, "weight")
+	c.Targets = c.Targets[:rapid.IntRange(0, 4).Draw(t, "targets")]
+	c.Services = c.Services[:rapid.IntRange(0, 2).Draw(t, "services")]
+	c.Policies = c.Policies[:rapid.IntRange(0, 2).Draw(t, "policies")]
+	for _, target := range c.Targets {
+		target.Labels["serves"] = rapid.SampledFrom([]string{"front", "images"}).Draw(t, "serves")
+	}
+	return c
+}
+
+// Guards against a revision in force that goes down, or changes its content,
+// under any order of whole configurations and deltas; and against a delta that
+// gives another result than the whole configuration.
+func TestRevisionNeverGoesDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, sink := NewStore(testWindow), NewStore(testWindow)
+		now := start
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				now = now.Add(time.Second)
+				checkedOffer(t, source, func() (Decision, error) {
+					return source.Offer(now, drawConfig(t, rapid.Uint64Range(0, 12).Draw(t, "revision")))
+				})
+			},
+			"deliver": func(t *rapid.T) {
+				from := rapid.Uint64Range(1, 12).Draw(t, "from")
+				if d, ok := source.Delta(from); ok {
+					checkedOffer(t, sink, func() (Decision, error) { return sink.OfferDelta(now, d) })
+				}
+			},
+			"transfer": func(t *rapid.T) {
+				if c := source.Current(); c != nil {
+					checkedOffer(t, sink, func() (Decision, error) { return sink.Offer(now, proto.Clone(c.Config()).(*schema.Config)) })
+				}
+			},
+			"": func(t *rapid.T) {
+				checkSameIndexes(t, source.Current())
+				checkSameIndexes(t, sink.Current())
+			},
+		})
+	})
+}
+
+func checkedOffer(t *rapid.T, s *Store, offer func() (Decision, error)) {
+	before := s.Current()
+	decision, err := offer()
+	after := s.Current()
+	if decision != Accepted && before != after {
+		t.Fatalf("%s changed the snapshot in force: %v", decision, err)
+	}
+	if decision == Accepted && before != nil && after.Revision() <= before.Revision() {
+		t.Fatalf("revision went from %d to %d", before.Revision(), after.Revision())
+	}
+	if (err == nil) != (decision == Accepted || decision == Same) {
+		t.Fatalf("%s with error %v", decision, err)
+	}
+}
+
+// checkSameIndexes compares a snapshot that was built step by step with one
+// that is built from nothing.
+func checkSameIndexes(t *rapid.T, s *Snapshot) {
+	if s == nil {
+		return
+	}
+	fresh, err := NewSnapshot(proto.Clone(s.Config()).(*schema.Config))
+	if err != nil {
+		t.Fatalf("snapshot in force is invalid: %v", err)
+	}
+	if len(s.byAddress) != len(fresh.byAddress) || len(s.agents) != len(fresh.agents) {
+		t.Fatalf("address indexes differ")
+	}
+	for _, service := range s.Services() {
+		id := service.GetId()
+		if s.Policy(id).GetName() != fresh.Policy(id).GetName() {
+			t.Fatalf("policy of service %d: %s, want %s", id, s.Policy(id).GetName(), fresh.Policy(id).GetName())
+		}
+		if !slices.Equal(targetIDs(s, id), targetIDs(fresh, id)) {
+			t.Fatalf("targets of service %d: %v, want %v", id, targetIDs(s, id), targetIDs(fresh, id))
+		}
+	}
+}
