--- /dev/null
+++ b/internal/agent/flows.go
@@ -0,0 +1,101 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/flow"
+	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/internal/wire"
+)
+
+// runFlow carries out what the ownership state decided. The lock is held.
+func (a *Agent) runFlow(actions []flow.Action) {
+	for _, action := range actions {
+		switch v := action.(type) {
+		case flow.Deliver:
+			a.deliver(v)
+		case flow.Forward:
+			a.send(v.Target, packetFrame(v.Packet))
+		case flow.SendAsk:
+			a.options.Metrics.Queries.Inc()
+			a.send(v.Target, &schema.Frame{Body: &schema.Frame_Ask{Ask: v.Ask}})
+		case flow.SendReply:
+			a.send(v.Target, &schema.Frame{Body: &schema.Frame_AskReply{AskReply: v.Reply}})
+		case flow.SendRegister:
+			a.send(v.Target, &schema.Frame{Body: &schema.Frame_Register{Register: v.Register}})
+		case flow.Close:
+			a.closeBackend(v.Key)
+		case flow.Drop:
+			a.drop(v.Packet.Key.Service, v.Kind)
+		}
+	}
+}
+
+func packetFrame(p flow.Packet) *schema.Frame {
+	return &schema.Frame{
+		Key:           wire.Key(p.Key.Service, p.Key.Caller),
+		Hops:          uint32(p.Hops),
+		AgeMs:         uint32(p.Age.Milliseconds()),
+		ReturnAddress: p.Return.String(),
+		Passed:        p.Passed,
+		TraceParent:   p.Trace,
+		Body:          &schema.Frame_Packet{Packet: p.Payload},
+	}
+}
+
+// deliver writes a packet to the backend server, over a new socket when the
+// flow was just opened.
+func (a *Agent) deliver(d flow.Deliver) {
+	key := d.Packet.Key
+	if d.Opened {
+		a.openBackend(key)
+	}
+	b := a.backends[key]
+	if b == nil {
+		a.drop(key.Service, schema.ErrorKind_BACKEND_FAILED)
+		return
+	}
+	b.setReturn(d.Packet.Return)
+	a.options.Metrics.PacketsIn.Inc()
+	span := a.options.Tracer.Hop("backend server", d.Packet.Trace)
+	b.write(d.Packet.Payload)
+	span.End()
+}
+
+func (a *Agent) openBackend(key placement.Key) {
+	a.options.Metrics.FlowsOpened.Inc()
+	b, err := dialBackend(a.options.Settings.GetBackendUdp())
+	if err != nil {
+		a.options.Logger.Log(telemetry.BackendUnreachable, "service", key.Service, "error", err)
+		a.runFlow(a.flows.BackendClosed(key))
+		return
+	}
+	a.backends[key] = b
+	go b.serve(func(data []byte) { a.answerFlow(key, b, data) })
+}
+
+// answerFlow passes a packet of the backend server on to the caller.
+func (a *Agent) answerFlow(key placement.Key, b *backend, data []byte) {
+	a.mu.Lock()
+	if a.backends[key] != b {
+		// A late packet of a closed flow.
+		a.mu.Unlock()
+		return
+	}
+	a.flows.HandleAnswer(time.Now(), key)
+	to := a.liveBalancer(b.returnAddress())
+	a.mu.Unlock()
+	a.sendAnswer(to, key, "", data)
+}
+
+// closeBackend ends the socket of a flow after the quarantine.
+func (a *Agent) closeBackend(key placement.Key) {
+	b := a.backends[key]
+	if b == nil {
+		return
+	}
+	delete(a.backends, key)
+	time.AfterFunc(quarantine, b.close)
+}
--- /dev/null
+++ b/internal/agent/requests.go
@@ -0,0 +1,183 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/peridotstall/peridotstall/internal/offer"
+	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/internal/wire"
+)
+
+const (
+	// backendDialTimeout bounds the connection to the backend server, which
+	// runs on the same host.
+	backendDialTimeout = time.Second
+	// maxResponse is the largest response that fits the fragments of an answer.
+	maxResponse = wire.MaxFragment * wire.MaxFragments
+)
+
+// Headers of a request to the backend server.
+const (
+	headerRequestID = "Request-Id"
+	headerClass     = "Class"
+	headerDeadline  = "Deadline-Ms"
+)
+
+func newBackendClient() *http.Client {
+	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 64,
+		DisableCompression:  true,
+	}}
+}
+
+// runOffer carries out what the request state machine decided. The lock is held.
+func (a *Agent) runOffer(actions []offer.Action) {
+	for _, action := range actions {
+		switch v := action.(type) {
+		case offer.Send:
+			a.sendCaller(placement.Key(v.To), v.Packet)
+		case offer.StartRequest:
+			a.startRequest(v)
+		case offer.CancelRequest:
+			if cancel := a.requests[v.Sequence]; cancel != nil {
+				cancel()
+			}
+		case offer.OpenSession:
+			a.openSession(v)
+		case offer.DeliverSession:
+			if b := a.sessions[v.Sequence]; b != nil {
+				b.write(v.Data)
+			}
+		case offer.CloseSession:
+			a.closeSession(v.Sequence)
+		case offer.Fact:
+			a.note(v)
+		}
+	}
+}
+
+func (a *Agent) sendCaller(key placement.Key, p *schema.CallerPacket) {
+	data, err := wire.EncodeCaller(p)
+	if err != nil {
+		a.drop(key.Service, schema.ErrorKind_TOO_LARGE)
+		return
+	}
+	a.sendAnswer(a.liveBalancer(a.returns.get(key)), key, "", data)
+}
+
+// note counts and logs what happened to a request.
+func (a *Agent) note(f offer.Fact) {
+	m := a.options.Metrics
+	switch f.Event {
+	case offer.OfferMade:
+		m.Offers.Inc()
+	case offer.OpenRefused:
+		m.Error(f.Kind)
+		a.options.Logger.LogLimited(time.Now(), telemetry.Refused, f.Key.Service, f.Kind)
+	case offer.RequestStarted:
+		m.RequestsRun.Inc()
+	case offer.RequestEnded:
+		if f.Kind != schema.ErrorKind_ERROR_KIND_NONE {
+			m.Error(f.Kind)
+		}
+	case offer.PacketDropped:
+		a.drop(f.Key.Service, schema.ErrorKind_MALFORMED)
+	}
+}
+
+// startRequest hands a request to the backend server in a goroutine of its own.
+func (a *Agent) startRequest(r offer.StartRequest) {
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	a.requests[r.Sequence] = cancel
+	go func() {
+		response := a.callBackend(ctx, r)
+		cancel()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.requests, r.Sequence)
+		a.runOffer(a.offers.BackendDone(time.Now(), r.Sequence, response))
+	}()
+}
+
+// callBackend sends the request once. The body cannot be read again, so that
+// the HTTP client never repeats a request by itself.
+func (a *Agent) callBackend(ctx context.Context, r offer.StartRequest) offer.Response {
+	body := io.NopCloser(bytes.NewReader(r.Body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, a.options.Settings.GetBackendUrl(), body)
+	if err != nil {
+		return failed(schema.ErrorKind_BACKEND_FAILED, err)
+	}
+	request.ContentLength = int64(len(r.Body))
+	request.Header.Set(headerRequestID, strconv.FormatUint(r.RequestID, 16))
+	request.Header.Set(headerClass, r.Class)
+	request.Header.Set(headerDeadline, strconv.FormatInt(time.Until(r.Deadline).Milliseconds(), 10))
+	answer, err := a.client.Do(request)
+	if err != nil {
+		return failed(failureKind(ctx), err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode == http.StatusServiceUnavailable {
+		return failed(schema.ErrorKind_BACKEND_SHED, errors.New(answer.Status))
+	}
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxResponse+1))
+	if err != nil {
+		return failed(failureKind(ctx), err)
+	}
+	return offer.Response{Status: uint32(answer.StatusCode), Body: data}
+}
+
+func failureKind(ctx context.Context) schema.ErrorKind {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return schema.ErrorKind_DEADLINE_EXCEEDED
+	}
+	if ctx.Err() != nil {
+		return schema.ErrorKind_CANCELLED
+	}
+	return schema.ErrorKind_BACKEND_FAILED
+}
+
+func failed(kind schema.ErrorKind, err error) offer.Response {
+	return offer.Response{Kind: kind, Detail: err.Error()}
+}
+
+// openSession connects a session to the backend server.
+func (a *Agent) openSession(s offer.OpenSession) {
+	b, err := dialBackend(a.options.Settings.GetBackendUdp())
+	if err != nil {
+		a.options.Logger.Log(telemetry.BackendUnreachable, "service", s.Key.Service, "error", err)
+		a.runOffer(a.offers.SessionEnded(time.Now(), s.Sequence))
+		return
+	}
+	a.options.Metrics.FlowsOpened.Inc()
+	a.sessions[s.Sequence] = b
+	go b.serve(func(data []byte) { a.sessionOutput(s.Sequence, b, data) })
+}
+
+func (a *Agent) sessionOutput(sequence uint64, b *backend, data []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sessions[sequence] == b {
+		a.runOffer(a.offers.SessionOutput(time.Now(), sequence, bytes.Clone(data)))
+	}
+}
+
+func (a *Agent) closeSession(sequence uint64) {
+	b := a.sessions[sequence]
+	if b == nil {
+		return
+	}
+	delete(a.sessions, sequence)
+	time.AfterFunc(quarantine, b.close)
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,236 @@
+// Package balancer forwards packets of callers to the agents of the targets and
+// answers back to the callers. It keeps no state of flows: each packet is placed
+// by the configuration and the view of the hosts.
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/config"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/internal/tunnel"
+	"github.com/peridotstall/peridotstall/internal/udp"
+)
+
+const (
+	// bindRetry is the interval at which listeners that failed are tried again.
+	bindRetry = 2 * time.Second
+	// quietTime without a packet tells a stopping balancer that the fabric has
+	// moved on.
+	quietTime = time.Second
+	// stopPoll is the interval at which a stopping balancer looks for traffic.
+	stopPoll = 50 * time.Millisecond
+)
+
+// Options are what a balancer is built from.
+type Options struct {
+	Settings *schema.BalancerSettings
+	Logger   *telemetry.Logger
+	Metrics  *telemetry.Metrics
+	Tracer   *telemetry.Tracer
+	// PlainHash selects the baseline that hashes over the usable targets and
+	// knows no owners; it serves for comparison only.
+	PlainHash bool
+}
+
+// ControlReceiver takes frames that are not packets or answers.
+type ControlReceiver interface {
+	Receive(from netip.AddrPort, f *schema.Frame)
+}
+
+// Balancer is one balancer process.
+type Balancer struct {
+	options Options
+	tunnel  *tunnel.Socket
+	view    atomic.Pointer[view]
+	control ControlReceiver
+
+	mu        sync.Mutex
+	usable    func(host string) bool
+	listeners map[uint32]*listener
+	relays    sync.WaitGroup
+	lastCall  atomic.Int64
+}
+
+// New binds the frame socket.
+func New(o Options) (*Balancer, error) {
+	socket, err := tunnel.Listen(o.Settings.GetCommon().GetControlAddress(), o.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	return &Balancer{
+		options:   o,
+		tunnel:    socket,
+		usable:    func(string) bool { return true },
+		listeners: map[uint32]*listener{},
+	}, nil
+}
+
+// Tunnel returns the frame socket, which the control loop shares.
+func (b *Balancer) Tunnel() *tunnel.Socket {
+	return b.tunnel
+}
+
+// SetControl sets the receiver of control frames; call it before Run.
+func (b *Balancer) SetControl(c ControlReceiver) {
+	b.control = c
+}
+
+// SetConfig puts a configuration in force.
+func (b *Balancer) SetConfig(s *config.Snapshot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.view.Store(newView(s, b.usable))
+	b.options.Metrics.Revision.Set(int64(s.Revision()))
+	b.updateListeners(s)
+}
+
+// SetHosts puts a new view of the hosts in force.
+func (b *Balancer) SetHosts(usable func(host string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.usable = usable
+	if v := b.view.Load(); v != nil {
+		b.view.Store(v.withHosts(usable))
+	}
+}
+
+// Run forwards until the context ends or the frame socket fails.
+func (b *Balancer) Run(ctx context.Context) error {
+	go b.retryListeners(ctx)
+	stop := context.AfterFunc(ctx, func() { b.Close() })
+	defer stop()
+	return b.tunnel.Serve(b.handleFrame)
+}
+
+// Drain keeps forwarding until no packet came for quietTime, but at least until
+// the fabric had the grace time to move on and at most twice as long.
+func (b *Balancer) Drain(ctx context.Context) {
+	grace := time.Duration(b.options.Settings.GetStopGraceMs()) * time.Millisecond
+	begin := time.Now()
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			quiet := now.Sub(time.Unix(0, b.lastCall.Load())) >= quietTime
+			waited := now.Sub(begin)
+			if waited >= grace && quiet || waited >= 2*grace {
+				return
+			}
+		}
+	}
+}
+
+// Close closes all sockets.
+func (b *Balancer) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, l := range b.listeners {
+		l.conn.Close()
+		delete(b.listeners, id)
+	}
+	b.tunnel.Close()
+}
+
+// retryListeners binds addresses that were busy or not yet configured on the
+// host, until the context ends.
+func (b *Balancer) retryListeners(ctx context.Context) {
+	ticker := time.NewTicker(bindRetry)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.mu.Lock()
+			if v := b.view.Load(); v != nil {
+				b.updateListeners(v.snapshot)
+			}
+			b.mu.Unlock()
+		}
+	}
+}
+
+// updateListeners opens and closes sockets so that they match the services.
+func (b *Balancer) updateListeners(s *config.Snapshot) {
+	for id, l := range b.listeners {
+		service, ok := s.Service(id)
+		if !ok || service.GetAddress() != l.address {
+			l.conn.Close()
+			delete(b.listeners, id)
+		}
+	}
+	for _, service := range s.Services() {
+		if service.GetMode() == schema.Mode_TCP || b.listeners[service.GetId()] != nil {
+			continue
+		}
+		b.openListener(service)
+	}
+}
+
+func (b *Balancer) openListener(service *schema.Service) {
+	bind := b.bindAddress(service.GetAddress())
+	if bind == "" {
+		return
+	}
+	conn, err := udp.Listen(bind)
+	if err != nil {
+		b.options.Logger.Log(telemetry.ListenerFailed, "service", service.GetId(), "error", err)
+		return
+	}
+	l := &listener{
+		balancer: b,
+		conn:     conn,
+		service:  service.GetId(),
+		mode:     service.GetMode(),
+		address:  service.GetAddress(),
+	}
+	b.listeners[l.service] = l
+	go l.serve()
+}
+
+// bindAddress maps a service address to the address that this host binds. With
+// a list in the settings only the listed services are bound.
+func (b *Balancer) bindAddress(service string) string {
+	list := b.options.Settings.GetListeners()
+	if len(list) == 0 {
+		return service
+	}
+	for _, l := range list {
+		if l.GetService() == service {
+			return l.GetBind()
+		}
+	}
+	return ""
+}
+
+// ListenerAddress returns the bound address of a service.
+func (b *Balancer) ListenerAddress(service uint32) (netip.AddrPort, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.listeners[service]
+	if l == nil {
+		return netip.AddrPort{}, false
+	}
+	return l.conn.Local(), true
+}
+
+// handleFrame takes a frame from an agent or another process.
+func (b *Balancer) handleFrame(from netip.AddrPort, age time.Duration, f *schema.Frame) {
+	answer, ok := f.Body.(*schema.Frame_Answer)
+	if !ok {
+		if b.control != nil {
+			b.control.Receive(from, f)
+		}
+		return
+	}
+	b.sendAnswer(f, answer.Answer)
+}
--- /dev/null
+++ b/internal/balancer/listener.go
@@ -0,0 +1,180 @@
+package balancer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/errkind"
+	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/internal/udp"
+	"github.com/peridotstall/peridotstall/internal/wire"
+)
+
+// listener serves the socket of one service. Its fields do not change.
+type listener struct {
+	balancer *Balancer
+	conn     *udp.Conn
+	service  uint32
+	mode     schema.Mode
+	address  string
+}
+
+// outgoing is the frame that a listener reuses for every packet.
+type outgoing struct {
+	frame  schema.Frame
+	key    schema.FlowKey
+	body   schema.Frame_Packet
+	caller [16]byte
+}
+
+// serve forwards packets until the socket is closed.
+func (l *listener) serve() {
+	buf := make([]byte, wire.MaxPacket+1)
+	out := &outgoing{}
+	out.frame.Key = &out.key
+	out.frame.Body = &out.body
+	out.frame.ReturnAddress = l.balancer.tunnel.Local().String()
+	for {
+		n, from, age, err := l.conn.Read(buf)
+		if err != nil {
+			return
+		}
+		l.balancer.lastCall.Store(time.Now().UnixNano())
+		l.balancer.options.Metrics.PacketsIn.Inc()
+		if n > wire.MaxPacket {
+			l.fail(from, nil, schema.ErrorKind_TOO_LARGE)
+			continue
+		}
+		l.forward(out, buf[:n], from, age)
+	}
+}
+
+func (l *listener) forward(out *outgoing, data []byte, from netip.AddrPort, age time.Duration) {
+	b := l.balancer
+	v := b.view.Load()
+	a, kind := l.place(v, data, from)
+	if kind != schema.ErrorKind_ERROR_KIND_NONE {
+		l.fail(from, data, kind)
+		return
+	}
+	span := b.options.Tracer.Root("balancer")
+	span.Service(l.service)
+	out.key.Service = l.service
+	out.key.CallerIp = callerIP(out, from)
+	out.key.CallerPort = uint32(from.Port())
+	out.frame.Revision = v.table.Revision()
+	out.frame.AgeMs = uint32(age.Milliseconds())
+	out.frame.TraceParent = span.TraceParent()
+	out.body.Packet = data
+	if err := b.tunnel.Send(a.address, &out.frame); err != nil {
+		b.options.Metrics.Error(schema.ErrorKind_INTERNAL)
+	}
+	span.End()
+}
+
+func callerIP(out *outgoing, from netip.AddrPort) []byte {
+	if from.Addr().Is4() {
+		ip := from.Addr().As4()
+		return append(out.caller[:0], ip[:]...)
+	}
+	ip := from.Addr().As16()
+	return append(out.caller[:0], ip[:]...)
+}
+
+// place chooses the agent for a packet.
+func (l *listener) place(v *view, data []byte, from netip.AddrPort) (agent, schema.ErrorKind) {
+	hash := v.table.Hash(placement.Key{Service: l.service, Caller: from})
+	if l.mode == schema.Mode_REQUEST {
+		return l.placeRequest(v, data, hash)
+	}
+	place := v.place
+	if l.balancer.options.PlainHash {
+		place = v.placePlainHash
+	}
+	if a, ok := place(l.service, hash); ok {
+		return a, schema.ErrorKind_ERROR_KIND_NONE
+	}
+	return agent{}, schema.ErrorKind_REFUSED_NO_TARGET
+}
+
+// placeRequest sends a packet with a token to the owner of the token and an
+// opening to a candidate.
+func (l *listener) placeRequest(v *view, data []byte, hash uint64) (agent, schema.ErrorKind) {
+	if target, ok := wire.TokenTarget(data); ok {
+		a, known := v.agents[target]
+		if !known {
+			return agent{}, schema.ErrorKind_UNKNOWN_OUTCOME
+		}
+		return a, schema.ErrorKind_ERROR_KIND_NONE
+	}
+	p, err := wire.DecodeCaller(data)
+	if err != nil {
+		return agent{}, schema.ErrorKind_MALFORMED
+	}
+	hash = placement.RequestHash(hash, p.GetRequestId())
+	if a, ok := v.placeOpen(l.service, hash, p.GetOpen()); ok {
+		return a, schema.ErrorKind_ERROR_KIND_NONE
+	}
+	return agent{}, schema.ErrorKind_REFUSED_NO_TARGET
+}
+
+// fail counts a packet that cannot be forwarded and refuses an opening of the
+// caller package. A balancer hands nothing to a backend server itself, so that
+// "not run" is true. A packet with the token of an unknown target is dropped:
+// another balancer may have a later configuration that names the target.
+func (l *listener) fail(from netip.AddrPort, data []byte, kind schema.ErrorKind) {
+	b := l.balancer
+	b.options.Metrics.Error(kind)
+	b.options.Logger.LogLimited(time.Now(), telemetry.PacketDropped, l.service, kind)
+	if l.mode != schema.Mode_REQUEST || data == nil {
+		return
+	}
+	p, err := wire.DecodeCaller(data)
+	if err != nil || p.GetOpen() == nil {
+		return
+	}
+	l.answer(from, &schema.CallerPacket{
+		RequestId: p.GetRequestId(),
+		Body: &schema.CallerPacket_Refusal{Refusal: &schema.Refusal{
+			Kind:   kind,
+			Detail: errkind.Lookup(kind).Text,
+		}},
+	})
+}
+
+func (l *listener) answer(to netip.AddrPort, p *schema.CallerPacket) {
+	data, err := wire.EncodeCaller(p)
+	if err != nil {
+		return
+	}
+	l.send(to, data)
+}
+
+func (l *listener) send(to netip.AddrPort, data []byte) {
+	if err := l.conn.Write(data, to); err != nil {
+		return
+	}
+	l.balancer.options.Metrics.PacketsOut.Inc()
+}
+
+// sendAnswer passes an answer of an agent to the caller, from the socket of the
+// service that the frame names.
+func (b *Balancer) sendAnswer(f *schema.Frame, data []byte) {
+	caller, err := wire.Caller(f.GetKey())
+	if err != nil {
+		b.options.Metrics.Error(schema.ErrorKind_MALFORMED)
+		return
+	}
+	b.mu.Lock()
+	l := b.listeners[f.GetKey().GetService()]
+	b.mu.Unlock()
+	if l == nil {
+		b.options.Metrics.Error(schema.ErrorKind_UNKNOWN_SERVICE)
+		return
+	}
+	span := b.options.Tracer.Hop("balancer answer", f.GetTraceParent())
+	l.send(caller, data)
+	span.End()
+}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -177,6 +177,7 @@
 type owned struct {
 	key        placement.Key
 	hash       uint64
+	idle       time.Duration
 	lastCaller time.Time
 	lastPacket time.Time
 }
@@ -223,6 +224,13 @@
 	nextIdle    time.Time
 	stats       Stats
 	out         []Action
+	baseline    bool
+}
+
+// SetBaseline makes the agent open every unknown flow without asking, as a
+// balancer that only hashes needs it. It serves for comparison only.
+func (c *Core) SetBaseline(on bool) {
+	c.baseline = on
 }
 
 // New returns the core of the agent of a target. It starts unsettled, since an
@@ -261,15 +269,16 @@
 // HandlePacket decides about a packet of a caller.
 func (c *Core) HandlePacket(now time.Time, p Packet) []Action {
 	c.out = nil
-	if _, ok := c.view.Services[p.Key.Service]; !ok {
-		c.drop(p, schema.ErrorKind_WRONG_SERVICE, "the target does not serve the service")
-		return c.out
-	}
 	if f := c.flows[p.Key]; f != nil {
+		// Flows stay also when the target no longer serves the service.
 		f.lastCaller, f.lastPacket = now, now
 		c.emit(Deliver{Packet: p})
 		return c.out
 	}
+	if _, ok := c.view.Services[p.Key.Service]; !ok {
+		c.drop(p, schema.ErrorKind_WRONG_SERVICE, "the target does not serve the service")
+		return c.out
+	}
 	c.handleUnknown(now, p)
 	return c.out
 }
@@ -326,7 +335,13 @@
 		c.passOn(now, hash, packets, err)
 		return
 	}
-	f := &owned{key: first.Key, hash: hash, lastCaller: now, lastPacket: now}
+	f := &owned{
+		key:        first.Key,
+		hash:       hash,
+		idle:       c.view.Services[first.Key.Service].IdleTimeout,
+		lastCaller: now,
+		lastPacket: now,
+	}
 	c.flows[f.key] = f
 	c.byHash[hash] = f
 	c.directory.forget(hash)
@@ -360,8 +375,7 @@
 	c.nextIdle = now.Add(time.Second)
 	var idle []*owned
 	for _, f := range c.flows {
-		timeout := c.view.Services[f.key.Service].IdleTimeout
-		if timeout > 0 && now.Sub(f.lastPacket) >= timeout {
+		if f.idle > 0 && now.Sub(f.lastPacket) >= f.idle {
 			idle = append(idle, f)
 		}
 	}
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -31,6 +31,10 @@
 // handleUnknown decides about a packet of a flow that this agent does not own.
 func (c *Core) handleUnknown(now time.Time, p Packet) {
 	hash := c.hash(p.Key)
+	if c.baseline {
+		c.open(now, hash, []Packet{p})
+		return
+	}
 	if waiting := c.pending[hash]; waiting != nil {
 		c.hold(waiting, p)
 		return
--- a/internal/offer/types.go
+++ b/internal/offer/types.go
@@ -11,25 +11,20 @@
 	"net/netip"
 	"time"
 
+	"github.com/peridotstall/peridotstall/internal/admission"
 	"github.com/peridotstall/peridotstall/internal/errkind"
 	"github.com/peridotstall/peridotstall/internal/schema"
 )
 
-// Request describes work to admission.
-type Request struct {
-	Member, Class string
-	Deadline      time.Time
-	Bytes         int
-}
-
-// Ticket identifies a reservation of admission.
-type Ticket uint64
-
-// Result tells admission how a request ended.
-type Result struct {
-	ServiceTime  time.Duration
-	Shed, Failed bool
-}
+// Types that are shared with admission.
+type (
+	// Request describes work to admission.
+	Request = admission.Request
+	// Ticket identifies a reservation of admission.
+	Ticket = admission.Ticket
+	// Result tells admission how a request ended.
+	Result = admission.Result
+)
 
 // Admission decides which work is accepted and when it starts.
 type Admission interface {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -9,6 +9,8 @@
 	"net/netip"
 
 	"github.com/dchest/siphash"
+
+	"github.com/peridotstall/peridotstall/internal/config"
 )
 
 const (
@@ -96,6 +98,19 @@
 	return t
 }
 
+// FromSnapshot prepares the table of an accepted configuration.
+func FromSnapshot(s *config.Snapshot) *Table {
+	var services []ServiceTargets
+	for _, service := range s.Services() {
+		list := ServiceTargets{Service: service.GetId()}
+		for _, target := range s.Targets(service.GetId()) {
+			list.Targets = append(list.Targets, Weighted{ID: target.GetId(), Weight: target.GetCapacity()})
+		}
+		services = append(services, list)
+	}
+	return NewTable(s.Revision(), s.HashKey(), services)
+}
+
 // Revision returns the configuration revision of the table.
 func (t *Table) Revision() uint64 {
 	return t.revision
@@ -111,6 +126,12 @@
 	return siphash.Hash(t.key0, t.key1, buf[:])
 }
 
+// RequestHash returns the hash by which one request of a caller is placed, so
+// that the requests of one caller are spread over the targets.
+func RequestHash(flow, requestID uint64) uint64 {
+	return mix(flow ^ mix(requestID))
+}
+
 // Candidates appends to out the targets that may serve the flow, best first,
 // at most MaxCandidates. The result is empty for an unknown service.
 func (t *Table) Candidates(serviceID uint32, hash uint64, out []uint32) []uint32 {
@@ -161,13 +182,6 @@
 	return nil
 }
 
-// Services calls f with the ID of every service of the table.
-func (t *Table) Services(f func(id uint32)) {
-	for id := range t.services {
-		f(id)
-	}
-}
-
 func newService(targets []Weighted) *service {
 	return &service{targets: targets, root: newNode(0, 0, targets)}
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -53,6 +53,10 @@
 		Message: "configuration service is reachable again", Fields: []string{"url", "outage"}}
 )
 
+// ListenerFailed reports a service address that this host cannot bind.
+var ListenerFailed = Event{Number: 210, Level: log.ErrorLevel, Name: "listener_failed",
+	Message: "service address cannot be bound; trying again", Fields: []string{"service", "error"}}
+
 // Events of the membership: 300 to 399.
 var (
 	HostDead = Event{Number: 300, Level: log.WarnLevel, Name: "host_dead",
@@ -74,6 +78,10 @@
 		Message: "a queried candidate did not answer", Fields: []string{"service", "flow", "missing", "action"}}
 )
 
+// BackendUnreachable reports that no socket towards the backend server could be opened.
+var BackendUnreachable = Event{Number: 410, Level: log.ErrorLevel, Name: "backend_unreachable",
+	Message: "backend server cannot be reached", Fields: []string{"service", "error"}}
+
 // Events of packets and work: 500 to 599.
 var (
 	PacketDropped = Event{Number: 500, Level: log.WarnLevel, Name: "packet_dropped",
@@ -87,9 +95,9 @@
 	return []Event{
 		ProcessStarted, ProcessReady, StopBegun, Stopped, ClockJump,
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
-		ConfigServiceUnreachable, ConfigServiceReachable,
+		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted,
-		FlowOpenedOutOfOrder, HandoverTimeout,
+		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable,
 		PacketDropped, Refused,
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,9 +4,11 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/peridotstall/peridotstall/internal/schema"
@@ -108,3 +110,49 @@
 	}
 	return netip.AddrPortFrom(addr.Unmap(), uint16(k.GetCallerPort())), nil
 }
+
+// Numbers of the fields that TokenTarget reads, as in the schema.
+const (
+	callerTokenField = 2
+	tokenTargetField = 1
+)
+
+// TokenTarget returns the target that a caller packet names in its token, and
+// whether it has one. It decodes no more than that, because a balancer needs
+// nothing else of most packets.
+func TokenTarget(data []byte) (uint32, bool) {
+	token := field(data, callerTokenField, protowire.BytesType)
+	if token == nil {
+		return 0, false
+	}
+	raw, n := protowire.ConsumeBytes(token)
+	if n < 0 {
+		return 0, false
+	}
+	value := field(raw, tokenTargetField, protowire.VarintType)
+	target, n := protowire.ConsumeVarint(value)
+	if n < 0 || target == 0 || target > math.MaxUint32 {
+		return 0, false
+	}
+	return uint32(target), true
+}
+
+// field returns the data from the value of a field on, or nil.
+func field(data []byte, number protowire.Number, kind protowire.Type) []byte {
+	for len(data) > 0 {
+		num, typ, n := protowire.ConsumeTag(data)
+		if n < 0 {
+			return nil
+		}
+		data = data[n:]
+		if num == number && typ == kind {
+			return data
+		}
+		n = protowire.ConsumeFieldValue(num, typ, data)
+		if n < 0 {
+			return nil
+		}
+		data = data[n:]
+	}
+	return nil
+}
