Add the caller package and its state machine

Cause: callers need requests that run at most once and errors that say whether the request ran. Change: internal/request is the state machine of a caller (openings, one taken offer, transfer, retries within the budget, cancellation, sessions); caller drives it over one unconnected UDP socket. The timers and the duplicate window that both ends use move to internal/wakeup and internal/wire. An agent offers again for a repeated opening whose offer expired, because the caller may never have received the first one. Conclusion: requests, cancellation and sessions work over loopback with the race detector on.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,147 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/peridotstall/peridotstall/caller"
+	"github.com/peridotstall/peridotstall/internal/errkind"
+	"github.com/peridotstall/peridotstall/internal/offer"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/wire"
+)
+
+// oneSlot admits everything and runs requests at once.
+type oneSlot struct {
+	last  offer.Ticket
+	queue []offer.Ticket
+}
+
+func (a *oneSlot) Reserve(time.Time, offer.Request) (offer.Ticket, *errkind.Error) {
+	a.last++
+	return a.last, nil
+}
+func (a *oneSlot) Enqueue(_ time.Time, t offer.Ticket) bool {
+	a.queue = append(a.queue, t)
+	return true
+}
+func (a *oneSlot) Next(time.Time) (offer.Ticket, bool) {
+	if len(a.queue) == 0 {
+		return 0, false
+	}
+	t := a.queue[0]
+	a.queue = a.queue[1:]
+	return t, true
+}
+func (a *oneSlot) Expired(time.Time) []offer.Ticket                  { return nil }
+func (a *oneSlot) Release(offer.Ticket)                              {}
+func (a *oneSlot) Done(time.Time, offer.Ticket, offer.Result)        {}
+func (a *oneSlot) OpenFlow(time.Time, string, string) *errkind.Error { return nil }
+func (a *oneSlot) CloseFlow(string, string)                          {}
+func (a *oneSlot) SetDraining(bool)                                  {}
+
+// serve runs an agent on a loopback socket. Its backend server returns requests
+// and session messages as they are, and never ends requests of class "slow";
+// it reports their start.
+func serve(t *testing.T) (address netip.AddrPort, slow chan struct{}) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { conn.Close() })
+	slow = make(chan struct{}, 1)
+	machine := offer.New(offer.Settings{Target: 1, Incarnation: 5}, &oneSlot{})
+	var apply func([]offer.Action)
+	apply = func(actions []offer.Action) {
+		for _, action := range actions {
+			switch a := action.(type) {
+			case offer.Send:
+				data, err := wire.EncodeCaller(a.Packet)
+				qt.Check(t, err, qt.IsNil)
+				conn.WriteToUDPAddrPort(data, a.To.Caller)
+			case offer.StartRequest:
+				if a.Class == "slow" {
+					slow <- struct{}{}
+					continue
+				}
+				apply(machine.BackendDone(time.Now(), a.Sequence, offer.Response{Status: 200, Body: a.Body}))
+			case offer.DeliverSession:
+				apply(machine.SessionOutput(time.Now(), a.Sequence, a.Data))
+			}
+		}
+	}
+	go func() {
+		buf := make([]byte, wire.MaxPacket+1)
+		for {
+			n, from, err := conn.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			packet, err := wire.DecodeCaller(buf[:n])
+			qt.Check(t, err, qt.IsNil)
+			apply(machine.Handle(time.Now(), offer.Peer{Caller: from}, offer.Service{ID: 1}, packet))
+			apply(machine.Tick(time.Now()))
+		}
+	}()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort(), slow
+}
+
+// Guards against a client whose socket, timers or contexts do not drive the
+// state machine to the end of requests and sessions.
+func TestClientOverLoopback(t *testing.T) {
+	c := qt.New(t)
+	address, slow := serve(t)
+	client, err := caller.Dial(caller.Settings{
+		Balancers: []netip.AddrPort{address},
+		Local:     netip.MustParseAddrPort("127.0.0.1:0"),
+		Seed:      1,
+		Deadline:  time.Minute,
+	})
+	c.Assert(err, qt.IsNil)
+	defer client.Close()
+
+	body := bytes.Repeat([]byte("bid "), 2000)
+	response, err := client.Do(context.Background(), caller.Request{Body: body})
+	c.Assert(err, qt.IsNil)
+	c.Check(bytes.Equal(response.Body, body), qt.IsTrue)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-slow
+		cancel()
+	}()
+	_, err = client.Do(ctx, caller.Request{Class: "slow"})
+	var failure *caller.Error
+	c.Assert(err, qt.ErrorAs, &failure)
+	c.Check(failure.Kind, qt.Equals, caller.Cancelled)
+	c.Check(failure.NotRun(), qt.IsFalse)
+	_, err = client.Do(ctx, caller.Request{})
+	c.Assert(err, qt.ErrorAs, &failure)
+	c.Check(failure.NotRun(), qt.IsTrue)
+
+	session, err := client.OpenSession(context.Background(), "feed")
+	c.Assert(err, qt.IsNil)
+	c.Assert(session.Send([]byte("price")), qt.IsNil)
+	data, err := session.Receive(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Check(string(data), qt.Equals, "price")
+	c.Assert(session.Close(), qt.IsNil)
+	_, err = session.Receive(context.Background())
+	c.Assert(err, qt.ErrorAs, &failure)
+}
+
+// Guards against a kind of the schema that callers cannot name.
+func TestEveryKindIsExported(t *testing.T) {
+	for number, name := range schema.ErrorKind_name {
+		if number == 0 {
+			continue
+		}
+		kind := caller.Kind(number)
+		qt.Check(t, kind.String(), qt.Equals, name)
+		qt.Check(t, kind >= caller.RefusedOverload && kind <= caller.Internal, qt.IsTrue)
+	}
+}
--- /dev/null
+++ b/caller/session.go
@@ -0,0 +1,143 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/errkind"
+	"github.com/peridotstall/peridotstall/internal/request"
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// maxUnread bounds the received messages of a session that were not read. Later
+// ones are dropped, as the network would.
+const maxUnread = 1024
+
+// Session is a long-lived exchange of messages with one backend server. Messages
+// may be lost or reordered, but arrive at most once.
+type Session struct {
+	client   *Client
+	id       uint64
+	opened   chan struct{}
+	messages chan []byte
+	ended    chan struct{}
+	err      *Error // set before ended is closed
+}
+
+// OpenSession opens a session. The error is an *Error.
+func (c *Client) OpenSession(ctx context.Context, class string) (*Session, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, notSent(err)
+	}
+	now := time.Now()
+	s := &Session{
+		client:   c,
+		opened:   make(chan struct{}),
+		messages: make(chan []byte, maxUnread),
+		ended:    make(chan struct{}),
+	}
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, notSent(net.ErrClosed)
+	}
+	id, actions := c.machine.OpenSession(now, c.class(class), c.deadline(ctx, now, 0))
+	s.id = id
+	c.sessions[id] = s
+	c.apply(actions)
+	c.mu.Unlock()
+	select {
+	case <-s.opened:
+		return s, nil
+	case <-s.ended:
+		return nil, s.err
+	case <-ctx.Done():
+		c.cancel(id)
+		<-s.ended
+		return nil, s.err
+	}
+}
+
+// Send sends one message of at most 1,200 bytes.
+func (s *Session) Send(data []byte) error {
+	s.client.mu.Lock()
+	defer s.client.mu.Unlock()
+	select {
+	case <-s.ended:
+		return s.err
+	default:
+	}
+	actions, err := s.client.machine.SendMessage(s.id, data)
+	if err != nil {
+		return newError(err)
+	}
+	s.client.apply(actions)
+	return nil
+}
+
+// Receive returns the next message. It returns FlowSilent or UnknownFlow when
+// the session is lost, after the messages that arrived before.
+func (s *Session) Receive(ctx context.Context) ([]byte, error) {
+	select {
+	case data := <-s.messages:
+		return data, nil
+	default:
+	}
+	select {
+	case data := <-s.messages:
+		return data, nil
+	case <-s.ended:
+		return s.afterEnd()
+	case <-ctx.Done():
+		err := newError(errkind.New(schema.ErrorKind_CANCELLED, "%v", ctx.Err()))
+		err.cause = ctx.Err()
+		return nil, err
+	}
+}
+
+func (s *Session) afterEnd() ([]byte, error) {
+	select {
+	case data := <-s.messages:
+		return data, nil
+	default:
+		return nil, s.err
+	}
+}
+
+// Close ends the session.
+func (s *Session) Close() error {
+	s.client.cancel(s.id)
+	return nil
+}
+
+// applySession carries out an action of a session; the caller holds the lock.
+func (c *Client) applySession(action request.Action) {
+	switch a := action.(type) {
+	case request.SessionOpened:
+		if s := c.sessions[a.ID]; s != nil {
+			close(s.opened)
+		}
+	case request.SessionMessage:
+		if s := c.sessions[a.ID]; s != nil {
+			s.push(a.Data)
+		}
+	case request.SessionEnded:
+		if s := c.sessions[a.ID]; s != nil {
+			delete(c.sessions, a.ID)
+			s.end(newError(a.Err))
+		}
+	}
+}
+
+func (s *Session) push(data []byte) {
+	select {
+	case s.messages <- data:
+	default:
+	}
+}
+
+func (s *Session) end(err *Error) {
+	s.err = err
+	close(s.ended)
+}
--- a/internal/offer/machine.go
+++ b/internal/offer/machine.go
@@ -8,6 +8,7 @@
 	"github.com/peridotstall/peridotstall/internal/errkind"
 	"github.com/peridotstall/peridotstall/internal/fragment"
 	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/wakeup"
 )
 
 type openKey struct {
@@ -25,7 +26,7 @@
 	records  map[uint64]*record
 	opened   map[openKey]*record // latest record of a request ID
 	tickets  map[Ticket]*record
-	timers   timers
+	wakeups  wakeup.Queue
 
 	offers       int // records that are runnable
 	running      int
@@ -161,7 +162,7 @@
 			m.sendOffer(now, r)
 			return
 		}
-		if r.state != stateEnded || o.Attempt <= r.attempt {
+		if !r.reopens(o.Attempt) {
 			m.drop(key, r.sequence, "late opening")
 			return
 		}
@@ -262,13 +263,26 @@
 // Tick expires offers, deadlines, sessions and retained outcomes, retransmits
 // answers and starts queued requests. A call every 10 ms is enough.
 func (m *Machine) Tick(now time.Time) []Action {
-	for _, r := range m.due(now) {
-		m.wake(now, r)
+	for _, sequence := range m.wakeups.Due(now) {
+		if r := m.records[sequence]; r != nil {
+			m.wake(now, r)
+		}
 	}
 	m.start(now)
 	return m.flush()
 }
 
+// NextWake returns when Tick has something to do; zero when nothing is pending.
+// Admission may start queued work earlier.
+func (m *Machine) NextWake() time.Time {
+	return m.wakeups.Next()
+}
+
+// schedule makes sure that the record is looked at no later than at a time.
+func (m *Machine) schedule(r *record, at time.Time) {
+	m.wakeups.Set(r.sequence, at)
+}
+
 // wake applies what time alone does to a record.
 func (m *Machine) wake(now time.Time, r *record) {
 	switch r.state {
--- a/internal/offer/record.go
+++ b/internal/offer/record.go
@@ -1,12 +1,12 @@
 package offer
 
 import (
-	"container/heap"
 	"container/list"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/fragment"
 	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/wire"
 )
 
 // state of a record. It is a plain value rather than an fsm.FSM because one is
@@ -52,7 +52,6 @@
 
 	state   state
 	expires time.Time // of the offer, then of the retained outcome
-	wake    time.Time // earliest entry in the timer heap
 
 	ticket  Ticket
 	request *fragment.Receiver
@@ -69,7 +68,7 @@
 
 	lastSeen time.Time // of a session
 	sendSeq  uint64
-	received window
+	received wire.Window
 }
 
 // move changes the state. A transition outside the table is a programming
@@ -84,81 +83,12 @@
 	panic("offer: transition not allowed")
 }
 
-// window notes received message numbers, to drop duplicates.
-type window struct {
-	highest uint64
-	seen    uint64 // bit i stands for highest-i
-}
-
-// fresh reports whether a number is new; numbers that fell out of the window
-// count as duplicates.
-func (w *window) fresh(sequence uint64) bool {
-	if sequence == 0 {
-		return false
-	}
-	if sequence > w.highest {
-		w.seen = w.seen<<(sequence-w.highest) | 1
-		w.highest = sequence
-		return true
-	}
-	bit := w.highest - sequence
-	if bit >= 64 || w.seen&(1<<bit) != 0 {
+// reopens reports whether another opening of the request ID may get an offer. A
+// caller opens again when an attempt was not run, and repeats an opening whose
+// offer was lost until it expired; any other opening is a late duplicate.
+func (r *record) reopens(attempt uint32) bool {
+	if r.state != stateEnded {
 		return false
 	}
-	w.seen |= 1 << bit
-	return true
-}
-
-// timer is an entry of the heap; it is stale when the record wakes otherwise.
-type timer struct {
-	at       time.Time
-	sequence uint64
-}
-
-type timers []timer
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
-	last := len(*t) - 1
-	out := (*t)[last]
-	*t = (*t)[:last]
-	return out
-}
-
-// schedule makes sure that the record is looked at no later than at a time.
-func (m *Machine) schedule(r *record, at time.Time) {
-	if at.IsZero() {
-		return
-	}
-	if !r.wake.IsZero() && !at.Before(r.wake) {
-		return
-	}
-	r.wake = at
-	heap.Push(&m.timers, timer{at, r.sequence})
-}
-
-// due removes and returns the records to look at.
-func (m *Machine) due(now time.Time) []*record {
-	var out []*record
-	for len(m.timers) > 0 && !m.timers[0].at.After(now) {
-		t := heap.Pop(&m.timers).(timer)
-		r := m.records[t.sequence]
-		if r == nil || !r.wake.Equal(t.at) {
-			continue
-		}
-		r.wake = time.Time{}
-		out = append(out, r)
-	}
-	return out
-}
-
-// NextWake returns when Tick has something to do; zero when nothing is pending.
-func (m *Machine) NextWake() time.Time {
-	if len(m.timers) == 0 {
-		return time.Time{}
-	}
-	return m.timers[0].at
+	return attempt > r.attempt || r.kind == schema.ErrorKind_OFFER_EXPIRED
 }
--- a/internal/offer/retain.go
+++ b/internal/offer/retain.go
@@ -92,6 +92,7 @@
 		r.element = nil
 	}
 	delete(m.records, r.sequence)
+	m.wakeups.Forget(r.sequence)
 	if k := (openKey{r.key, r.requestID}); m.opened[k] == r {
 		delete(m.opened, k)
 	}
--- a/internal/offer/session.go
+++ b/internal/offer/session.go
@@ -22,7 +22,7 @@
 			}})
 		}
 	case *schema.CallerPacket_Data:
-		if m.touchSession(now, r) && r.received.fresh(body.Data.GetSequence()) {
+		if m.touchSession(now, r) && r.received.Fresh(body.Data.GetSequence()) {
 			m.emit(DeliverSession{r.sequence, body.Data.GetData()})
 		}
 	case *schema.CallerPacket_Close, *schema.CallerPacket_Cancel:
