--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -117,7 +117,7 @@
 
 // send sends a frame to the agent of a target.
 func (a *Agent) send(target uint32, f *schema.Frame) {
-	p, ok := a.view.peers[target]
+	p, ok := a.view.peer(target)
 	if !ok {
 		return
 	}
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -72,6 +72,6 @@
 	o := a.offers.Stats()
 	return Cut{
 		Flows:    a.flows.Stats().Flows + o.Sessions,
-		Requests: o.Unfinished,
+		Requests: a.offers.Unfinished(),
 	}
 }
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -18,7 +18,6 @@
 	previous []*placement.Table
 	target   *schema.Target
 	services map[uint32]*schema.Service
-	peers    map[uint32]peer
 }
 
 // peer is the agent of another target.
@@ -32,35 +31,33 @@
 		snapshot: s,
 		table:    placement.FromSnapshot(s),
 		services: map[uint32]*schema.Service{},
-		peers:    map[uint32]peer{},
 	}
 	for _, earlier := range previous {
 		v.previous = append(v.previous, placement.FromSnapshot(earlier))
 	}
 	v.target, _ = s.Target(self)
 	for _, service := range s.Services() {
-		v.addService(service, self)
+		for _, target := range s.Targets(service.GetId()) {
+			if target.GetId() == self {
+				v.services[service.GetId()] = service
+			}
+		}
 	}
 	return v
 }
 
-// addService notes a service of this agent's target and the other targets of
-// the service.
-func (v *view) addService(service *schema.Service, self uint32) {
-	targets := v.snapshot.Targets(service.GetId())
-	serves := false
-	for _, target := range targets {
-		serves = serves || target.GetId() == self
-	}
-	if serves {
-		v.services[service.GetId()] = service
+// peer returns the agent of a target. A target that no service selects any more
+// is known as long as it is configured, since it may still own flows.
+func (v *view) peer(target uint32) (peer, bool) {
+	t, ok := v.snapshot.Target(target)
+	if !ok {
+		return peer{}, false
 	}
-	for _, target := range targets {
-		address, err := netip.ParseAddrPort(target.GetAgentAddress())
-		if err == nil {
-			v.peers[target.GetId()] = peer{host: target.GetHost(), address: address}
-		}
+	address, err := netip.ParseAddrPort(t.GetAgentAddress())
+	if err != nil {
+		return peer{}, false
 	}
+	return peer{host: t.GetHost(), address: address}, true
 }
 
 // member returns the member that owns a service.
@@ -124,7 +121,7 @@
 	if target == a.options.Settings.GetTarget() {
 		return !a.draining
 	}
-	p, ok := a.view.peers[target]
+	p, ok := a.view.peer(target)
 	return ok && a.hosts.Usable(p.host)
 }
 
@@ -132,6 +129,6 @@
 	if target == a.options.Settings.GetTarget() {
 		return false
 	}
-	p, ok := a.view.peers[target]
+	p, ok := a.view.peer(target)
 	return !ok || a.hosts.Dead(p.host)
 }
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -147,6 +148,8 @@
 		c.drop(p, schema.ErrorKind_REFUSED_OVERLOAD, "too many buffered packets")
 		return
 	}
+	// The payload is valid during the call only.
+	p.Payload = bytes.Clone(p.Payload)
 	waiting.packets = append(waiting.packets, p)
 	c.held++
 }
