Move the placement of packets at a balancer into a pure package

Cause: the balancer daemon held a rule, which scenarios on a virtual clock cannot reach. Change: package route.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/config"
+	"github.com/peridotstall/peridotstall/internal/route"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
 	"github.com/peridotstall/peridotstall/internal/tunnel"
@@ -33,9 +34,8 @@
 	Logger   *telemetry.Logger
 	Metrics  *telemetry.Metrics
 	Tracer   *telemetry.Tracer
-	// PlainHash selects the baseline that hashes over the usable targets and
-	// knows no owners; it serves for comparison only.
-	PlainHash bool
+	// Policy selects how plain packets are placed.
+	Policy route.Policy
 }
 
 // ControlReceiver takes frames that are not packets or answers.
@@ -47,13 +47,12 @@
 type Balancer struct {
 	options Options
 	tunnel  *tunnel.Socket
-	view    atomic.Pointer[view]
+	routes  atomic.Pointer[route.Table]
 	control ControlReceiver
 
 	mu        sync.Mutex
 	usable    func(host string) bool
 	listeners map[uint32]*listener
-	relays    sync.WaitGroup
 	lastCall  atomic.Int64
 }
 
@@ -85,7 +84,7 @@
 func (b *Balancer) SetConfig(s *config.Snapshot) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.view.Store(newView(s, b.usable))
+	b.routes.Store(route.New(s, b.usable, b.options.Policy))
 	b.options.Metrics.Revision.Set(int64(s.Revision()))
 	b.updateListeners(s)
 }
@@ -95,8 +94,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.usable = usable
-	if v := b.view.Load(); v != nil {
-		b.view.Store(v.withHosts(usable))
+	if t := b.routes.Load(); t != nil {
+		b.routes.Store(t.WithHosts(usable))
 	}
 }
 
@@ -151,8 +150,8 @@
 			return
 		case <-ticker.C:
 			b.mu.Lock()
-			if v := b.view.Load(); v != nil {
-				b.updateListeners(v.snapshot)
+			if t := b.routes.Load(); t != nil {
+				b.updateListeners(t.Snapshot())
 			}
 			b.mu.Unlock()
 		}
--- a/internal/balancer/listener.go
+++ b/internal/balancer/listener.go
@@ -6,6 +6,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/errkind"
 	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/route"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
 	"github.com/peridotstall/peridotstall/internal/udp"
@@ -53,8 +54,8 @@
 
 func (l *listener) forward(out *outgoing, data []byte, from netip.AddrPort, age time.Duration) {
 	b := l.balancer
-	v := b.view.Load()
-	a, kind := l.place(v, data, from)
+	routes := b.routes.Load()
+	a, kind := l.place(routes, data, from)
 	if kind != schema.ErrorKind_ERROR_KIND_NONE {
 		l.fail(from, data, kind)
 		return
@@ -64,11 +65,11 @@
 	out.key.Service = l.service
 	out.key.CallerIp = callerIP(out, from)
 	out.key.CallerPort = uint32(from.Port())
-	out.frame.Revision = v.table.Revision()
+	out.frame.Revision = routes.Snapshot().Revision()
 	out.frame.AgeMs = uint32(age.Milliseconds())
 	out.frame.TraceParent = span.TraceParent()
 	out.body.Packet = data
-	if err := b.tunnel.Send(a.address, &out.frame); err != nil {
+	if err := b.tunnel.Send(a.Address, &out.frame); err != nil {
 		b.options.Metrics.Error(schema.ErrorKind_INTERNAL)
 	}
 	span.End()
@@ -84,40 +85,12 @@
 }
 
 // place chooses the agent for a packet.
-func (l *listener) place(v *view, data []byte, from netip.AddrPort) (agent, schema.ErrorKind) {
-	hash := v.table.Hash(placement.Key{Service: l.service, Caller: from})
+func (l *listener) place(routes *route.Table, data []byte, from netip.AddrPort) (route.Agent, schema.ErrorKind) {
+	key := placement.Key{Service: l.service, Caller: from}
 	if l.mode == schema.Mode_REQUEST {
-		return l.placeRequest(v, data, hash)
+		return routes.Request(key, data)
 	}
-	place := v.place
-	if l.balancer.options.PlainHash {
-		place = v.placePlainHash
-	}
-	if a, ok := place(l.service, hash); ok {
-		return a, schema.ErrorKind_ERROR_KIND_NONE
-	}
-	return agent{}, schema.ErrorKind_REFUSED_NO_TARGET
-}
-
-// placeRequest sends a packet with a token to the owner of the token and an
-// opening to a candidate.
-func (l *listener) placeRequest(v *view, data []byte, hash uint64) (agent, schema.ErrorKind) {
-	if target, ok := wire.TokenTarget(data); ok {
-		a, known := v.agents[target]
-		if !known {
-			return agent{}, schema.ErrorKind_UNKNOWN_OUTCOME
-		}
-		return a, schema.ErrorKind_ERROR_KIND_NONE
-	}
-	p, err := wire.DecodeCaller(data)
-	if err != nil {
-		return agent{}, schema.ErrorKind_MALFORMED
-	}
-	hash = placement.RequestHash(hash, p.GetRequestId())
-	if a, ok := v.placeOpen(l.service, hash, p.GetOpen()); ok {
-		return a, schema.ErrorKind_ERROR_KIND_NONE
-	}
-	return agent{}, schema.ErrorKind_REFUSED_NO_TARGET
+	return routes.Plain(key)
 }
 
 // fail counts a packet that cannot be forwarded and refuses an opening of the
