--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -116,13 +116,12 @@
 	a.control = c
 }
 
-// SetConfig puts a configuration in force. Previous are the earlier ones within
-// the time in which balancers may still use them.
-func (a *Agent) SetConfig(s *config.Snapshot, previous []*config.Snapshot) {
+// SetConfig puts a configuration in force.
+func (a *Agent) SetConfig(s *config.Snapshot) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.view = newView(s, previous, a.options.Settings.GetTarget())
+	a.view = newView(s, a.options.Settings.GetTarget())
 	a.options.Metrics.Revision.Set(int64(s.Revision()))
 	a.configureAdmission(now)
 	if a.flows == nil {
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -15,7 +15,6 @@
 type view struct {
 	snapshot *config.Snapshot
 	table    *placement.Table
-	previous []*placement.Table
 	target   *schema.Target
 	services map[uint32]*schema.Service
 }
@@ -26,15 +25,12 @@
 	address netip.AddrPort
 }
 
-func newView(s *config.Snapshot, previous []*config.Snapshot, self uint32) *view {
+func newView(s *config.Snapshot, self uint32) *view {
 	v := &view{
 		snapshot: s,
 		table:    placement.FromSnapshot(s),
 		services: map[uint32]*schema.Service{},
 	}
-	for _, earlier := range previous {
-		v.previous = append(v.previous, placement.FromSnapshot(earlier))
-	}
 	v.target, _ = s.Target(self)
 	for _, service := range s.Services() {
 		for _, target := range s.Targets(service.GetId()) {
@@ -110,7 +106,6 @@
 	}
 	return flow.View{
 		Table:    v.table,
-		Previous: v.previous,
 		Services: services,
 		Usable:   a.targetUsable,
 		Dead:     a.targetDead,
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -49,8 +49,6 @@
 type View struct {
 	// Table places flows by the revision in force.
 	Table *placement.Table
-	// Previous are the tables of earlier revisions within the window, newest first.
-	Previous []*placement.Table
 	// Services are the services of this agent's target.
 	Services map[uint32]Service
 	// Usable reports whether a target may get new flows.
@@ -91,7 +89,10 @@
 // DefaultLimits returns the limits of the design page.
 func DefaultLimits() Limits {
 	return Limits{
-		Window:           6 * time.Second,
+		// Two registration intervals and the 4 s in which a change is in force
+		// everywhere: after that the directory knows all displaced flows, even
+		// when one registration was lost.
+		Window:           14 * time.Second,
 		AskTimeout:       100 * time.Millisecond,
 		AskTries:         3,
 		HeldPerFlow:      4,
@@ -99,7 +100,7 @@
 		DirectoryEntries: 65536,
 		Promises:         16384,
 		EntryTTL:         30 * time.Second,
-		Refresh:          10 * time.Second,
+		Refresh:          5 * time.Second,
 		MaxAge:           2 * time.Second,
 		PauseThreshold:   2 * time.Second,
 	}
@@ -218,6 +219,7 @@
 	sequence  uint64
 
 	settle      settle
+	history     []retired
 	usable      map[uint32]bool
 	lastTick    time.Time
 	lastRefresh time.Time
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -12,6 +12,9 @@
 	"github.com/peridotstall/peridotstall/internal/wire"
 )
 
+// maxQueries bounds the targets that are asked about one flow.
+const maxQueries = 16
+
 // pending is a flow for which replies are awaited.
 type pending struct {
 	hash    uint64
@@ -107,14 +110,9 @@
 	if !c.settle.unsettled(now, p.Key.Service) {
 		return ask
 	}
-	for _, id := range order[position:] {
+	for _, id := range c.recentCandidates(now, p.Key.Service, hash) {
 		add(id)
 	}
-	for _, table := range c.view.Previous {
-		for _, id := range table.Candidates(p.Key.Service, hash, nil) {
-			add(id)
-		}
-	}
 	return ask
 }
 
@@ -136,13 +134,17 @@
 	c.pending[hash] = waiting
 	c.hold(waiting, p)
 	for _, target := range targets {
-		c.sequence++
-		q := &query{target: target, sequence: c.sequence}
-		waiting.asked = append(waiting.asked, q)
-		c.sendAsk(now, waiting, q)
+		c.addQuery(now, waiting, target)
 	}
 }
 
+func (c *Core) addQuery(now time.Time, waiting *pending, target uint32) {
+	c.sequence++
+	q := &query{target: target, sequence: c.sequence}
+	waiting.asked = append(waiting.asked, q)
+	c.sendAsk(now, waiting, q)
+}
+
 func (c *Core) hold(waiting *pending, p Packet) {
 	if len(waiting.packets) >= c.limits.HeldPerFlow || c.held >= c.limits.HeldTotal {
 		c.drop(p, schema.ErrorKind_REFUSED_OVERLOAD, "too many buffered packets")
@@ -171,6 +173,9 @@
 func (c *Core) HandleAsk(now time.Time, a *schema.Ask) []Action {
 	c.out = nil
 	reply := &schema.AskReply{Sequence: a.Sequence, FlowHash: a.FlowHash, From: c.self}
+	if c.view.Table != nil {
+		reply.Also = c.recentCandidates(now, a.Service, a.FlowHash)
+	}
 	if c.byHash[a.FlowHash] != nil {
 		reply.Owned = true
 		reply.Owner = c.self
@@ -215,12 +220,29 @@
 		c.handOver(waiting, r.Owner)
 		return c.out
 	}
+	c.askAlso(now, waiting, r.Also)
 	if waiting.complete() {
 		c.finish(now, waiting)
 	}
 	return c.out
 }
 
+// askAlso asks the candidates that another agent knows from its own views. A
+// new agent has no earlier view, and an agent with an earlier revision does not
+// know the later candidates.
+func (c *Core) askAlso(now time.Time, waiting *pending, also []uint32) {
+	known := func(id uint32) bool {
+		return id == c.self || slices.ContainsFunc(waiting.asked, func(q *query) bool { return q.target == id }) ||
+			slices.Contains(waiting.packets[0].Passed, id)
+	}
+	fresh := slices.DeleteFunc(slices.Clone(also), known)
+	for _, id := range c.worthAsking(waiting.key.Service, fresh) {
+		if len(waiting.asked) < maxQueries {
+			c.addQuery(now, waiting, id)
+		}
+	}
+}
+
 // find returns the query that a reply belongs to. Replies to queries of an
 // earlier attempt, for example from before a pause, match none.
 func (w *pending) find(r *schema.AskReply) *query {
--- a/internal/flow/view.go
+++ b/internal/flow/view.go
@@ -9,6 +9,10 @@
 	"github.com/peridotstall/peridotstall/internal/schema"
 )
 
+// maxHistory bounds the earlier tables that are kept; at the target size a
+// service changes a few times a day.
+const maxHistory = 64
+
 // settle records until when the agent must ask others before it opens a flow.
 type settle struct {
 	until    time.Time
@@ -40,9 +44,9 @@
 	old := c.view
 	c.view = v
 	changed := false
-	for id := range v.Services {
+	for _, id := range slices.Sorted(maps.Keys(v.Services)) {
 		if old.Table == nil || !v.Table.SameTargets(id, old.Table) {
-			c.settle.service(id, now.Add(c.limits.Window))
+			c.changeService(now, id, old.Table)
 			changed = true
 		}
 	}
@@ -57,6 +61,51 @@
 	return c.out
 }
 
+// retired is the table of one service in an earlier revision.
+type retired struct {
+	service uint32
+	table   *placement.Table
+	until   time.Time
+}
+
+// changeService makes the agent ask the earlier candidates of a service for a
+// while. For work that must not be opened on a guess that is as long as an
+// owner that does not answer may still hold the flow.
+func (c *Core) changeService(now time.Time, id uint32, old *placement.Table) {
+	window := c.limits.Window
+	service := c.view.Services[id]
+	if service.TimeoutAction != schema.TimeoutAction_OPEN_ON_TIMEOUT {
+		window = max(window, service.IdleTimeout)
+	}
+	until := now.Add(window)
+	c.settle.service(id, until)
+	c.history = slices.DeleteFunc(c.history, func(r retired) bool { return !now.Before(r.until) })
+	if old == nil {
+		return
+	}
+	c.history = append(c.history, retired{service: id, table: old.Only(id), until: until})
+	if len(c.history) > maxHistory {
+		c.history = c.history[1:]
+	}
+}
+
+// recentCandidates returns the candidates of a flow by the present and the
+// recent views.
+func (c *Core) recentCandidates(now time.Time, service uint32, hash uint64) []uint32 {
+	list := slices.Clone(c.candidates(service, hash))
+	for _, r := range c.history {
+		if r.service != service || !now.Before(r.until) {
+			continue
+		}
+		for _, id := range r.table.Candidates(service, hash, nil) {
+			if !slices.Contains(list, id) {
+				list = append(list, id)
+			}
+		}
+	}
+	return list
+}
+
 // usableTargets lists the targets of the agent's services that get new flows.
 func usableTargets(v View) map[uint32]bool {
 	usable := map[uint32]bool{}
--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -145,7 +145,7 @@
 func (f *fleet) publish() {
 	s := f.snapshot()
 	for _, a := range f.agents {
-		a.SetConfig(s, nil)
+		a.SetConfig(s)
 	}
 	for _, b := range f.balancers {
 		b.SetConfig(s)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -174,6 +174,17 @@
 	return t.key0 == other.key0 && t.key1 == other.key1
 }
 
+// Only returns a table that holds a single service, to keep an earlier revision
+// without the memory of all its services.
+func (t *Table) Only(serviceID uint32) *Table {
+	return &Table{
+		revision: t.revision,
+		key0:     t.key0,
+		key1:     t.key1,
+		services: map[uint32]*service{serviceID: t.services[serviceID]},
+	}
+}
+
 // Targets returns the targets of a service in the order of their IDs.
 func (t *Table) Targets(serviceID uint32) []Weighted {
 	if s := t.services[serviceID]; s != nil {
--- a/internal/request/opening.go
+++ b/internal/request/opening.go
@@ -129,6 +129,13 @@
 	m.elsewhere(now, e, err, r.GetTarget())
 }
 
+// mayRetry applies the retry budget to refusals because of load. A draining
+// target says nothing about load, and a planned stop must not turn requests
+// away that another target can take.
+func (m *Machine) mayRetry(now time.Time, err *errkind.Error) bool {
+	return err.Kind == schema.ErrorKind_REFUSED_DRAINING || m.budget.retry(now)
+}
+
 // elsewhere opens again, on other targets than the one that refused, or ends the
 // request with the refusal.
 func (m *Machine) elsewhere(now time.Time, e *exchange, err *errkind.Error, target uint32) {
@@ -137,7 +144,7 @@
 	if target != 0 {
 		e.tried = append(e.tried, target)
 	}
-	if e.refusals >= maxAttempts || !m.budget.retry(now) {
+	if e.refusals >= maxAttempts || !m.mayRetry(now, err) {
 		m.fail(e, err)
 		return
 	}
