--- /dev/null
+++ b/internal/config/bench_test.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// largeConfig has the target size: 3,300 addresses and 51,000 targets.
+func largeConfig() *schema.Config {
+	c := &schema.Config{Revision: 1, HashKey: make([]byte, HashKeySize), Members: []*schema.Member{{Name: "shop", Weight: 1}}}
+	for i := range uint32(3300) {
+		c.Services = append(c.Services, testService(i+1, fmt.Sprintf("s%d", i)))
+	}
+	for i := range uint32(51_000) {
+		c.Targets = append(c.Targets, testTarget(i+1, fmt.Sprintf("s%d", i%3300)))
+	}
+	for i := range uint32(100) {
+		c.Policies = append(c.Policies, testPolicy(fmt.Sprintf("p%d", i), i, in("tier", fmt.Sprintf("s%d", i))))
+	}
+	return c
+}
+
+func BenchmarkSnapshotTargetSize(b *testing.B) {
+	c := largeConfig()
+	for b.Loop() {
+		if _, err := NewSnapshot(c); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkDeltaTargetSize(b *testing.B) {
+	s := NewStore(testWindow)
+	if _, err := s.Offer(start, largeConfig()); err != nil {
+		b.Fatal(err)
+	}
+	now := start
+	for b.Loop() {
+		b.StopTimer()
+		current := s.Current()
+		target := proto.Clone(current.Config().GetTargets()[100]).(*schema.Target)
+		target.Capacity = target.Capacity%100 + 1
+		next, _ := build(current, &schema.ConfigDelta{FromRevision: current.Revision(), ToRevision: current.Revision() + 1, Targets: []*schema.Target{target}})
+		d := Diff(current, next)
+		now = now.Add(4500 * time.Millisecond)
+		b.StartTimer()
+		if _, err := s.OfferDelta(now, d); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// build applies a delta without a digest.
+func build(base *Snapshot, d *schema.ConfigDelta) (*Snapshot, error) {
+	b := newBuilder(base)
+	b.delta(d)
+	return b.finish()
+}
+
+func BenchmarkMemoryTargetSize(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		data, _ := proto.Marshal(largeConfig())
+		c := &schema.Config{}
+		if err := proto.Unmarshal(data, c); err != nil {
+			b.Fatal(err)
+		}
+		data = nil
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "config-MB")
+		s, err := NewSnapshot(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "total-MB")
+		runtime.KeepAlive(s)
+	}
+}
--- a/internal/config/fixture_test.go
+++ b/internal/config/fixture_test.go
@@ -27,7 +27,7 @@
 	return &schema.Target{
 		Id: id, Host: fmt.Sprintf("h%d", id), Zone: "z1", Member: "shop",
 		AgentAddress: fmt.Sprintf("10.%d.%d.%d:7000", id>>16, id>>8&255, id&255),
-		Labels:       map[string]string{"serves": serves},
+		Labels:       map[string]string{"serves": serves, "rack": "r1", "disk": "ssd", "net": "25g"},
 		Slots:        3, Connections: 2000, Capacity: 100,
 	}
 }
--- a/internal/config/snapshot_test.go
+++ b/internal/config/snapshot_test.go
@@ -90,6 +90,8 @@
 		{func(c *schema.Config) { c.Services[0].Address = "198.18.0.2:80" }, "services[id=2].address", `"198.18.0.2:80"`},
 		{func(c *schema.Config) { c.Services[0].Address = "host:80" }, "services[id=2].address", `"host:80"`},
 		{func(c *schema.Config) { c.Services[0].Address = "10.0.0.1:0" }, "services[id=2].address", `"10.0.0.1:0"`},
+		{func(c *schema.Config) { c.Services[0].Address = "[::ffff:10.0.0.1]:80" }, "services[id=2].address", `"[::ffff:10.0.0.1]:80"`},
+		{func(c *schema.Config) { c.Services[0].Address = "224.0.0.1:80" }, "services[id=2].address", `"224.0.0.1:80"`},
 		{func(c *schema.Config) { c.Services[0].Mode = 9 }, "services[id=2].mode", "9"},
 		{func(c *schema.Config) { c.Services[0].Member = "none" }, "services[id=2].member", `"none"`},
 		{func(c *schema.Config) { c.Services[0].Targets = nil }, "services[id=2].targets.requirements", "[]"},
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -45,6 +45,7 @@
 		{"invalid", changed(6, func(c *schema.Config) { c.Targets[0].Capacity = 0 }), Invalid, true},
 		{"service ID reused", changed(6, func(c *schema.Config) { c.Services[0].Name = "other" }), Invalid, true},
 		{"target ID reused", changed(6, func(c *schema.Config) { c.Targets[0].Host = "other" }), Invalid, true},
+		{"member in use removed", changed(6, func(c *schema.Config) { c.Members = c.Members[1:] }), Invalid, true},
 		{"none", nil, Lower, true},
 	} {
 		t.Run(test.about, func(t *testing.T) {
@@ -66,11 +67,11 @@
 // Guards against an ID that is used for another name after it was removed.
 func TestRemovedIDIsNotReused(t *testing.T) {
 	c := qt.New(t)
-	without := changed(2, func(c *schema.Config) { c.Services = c.Services[1:] })
+	without := changed(2, func(c *schema.Config) { c.Services, c.Targets = c.Services[1:], c.Targets[1:] })
 	s := offered(t, testConfig(1), without)
-	decision, err := s.Offer(start, changed(3, func(c *schema.Config) { c.Services[0].Name = "other" }))
+	decision, err := s.Offer(start, changed(3, func(c *schema.Config) { c.Services[0].Name, c.Targets[0].Host = "other", "other" }))
 	c.Check(decision, qt.Equals, Invalid)
-	c.Check(err, qt.ErrorMatches, `(?s).*services\[id=2\]\.id: 2 is not allowed.*"images".*"other".*`)
+	c.Check(err, qt.ErrorMatches, `(?s).*services\[id=2\]\.id: 2 is not allowed.*"images".*"other".*targets\[id=4\]\.id.*"h4".*`)
 	decision, err = s.Offer(start, testConfig(3))
 	c.Check(err, qt.IsNil)
 	c.Check(decision, qt.Equals, Accepted)
@@ -117,6 +118,7 @@
 		{"gap", testConfig(1), func(d *schema.ConfigDelta) { d.FromRevision, d.ToRevision = 2, 3 }, NeedFull},
 		{"base has other content", other, func(d *schema.ConfigDelta) {}, NeedFull},
 		{"item altered", testConfig(1), func(d *schema.ConfigDelta) { d.Members[0].Weight++ }, NeedFull},
+		{"removed and set", testConfig(1), func(d *schema.ConfigDelta) { d.RemovedMembers = []string{"shop"} }, Invalid},
 		{"no digest", testConfig(1), func(d *schema.ConfigDelta) { d.Digest = nil }, Invalid},
 		{"backwards", testConfig(1), func(d *schema.ConfigDelta) { d.FromRevision = 3 }, Invalid},
 	} {
@@ -158,13 +160,17 @@
 			"offer": func(t *rapid.T) {
 				now = now.Add(time.Second)
 				checkedOffer(t, source, func() (Decision, error) {
-					return source.Offer(now, drawConfig(t, rapid.Uint64Range(0, 12).Draw(t, "revision")))
+					return source.Offer(now, drawConfig(t, drawRevision(t, source)))
 				})
 			},
 			"deliver": func(t *rapid.T) {
-				from := rapid.Uint64Range(1, 12).Draw(t, "from")
+				from := drawRevision(t, sink)
 				if d, ok := source.Delta(from); ok {
-					checkedOffer(t, sink, func() (Decision, error) { return sink.OfferDelta(now, d) })
+					follows := sink.Current() != nil && sink.Current().Revision() == from
+					decision := checkedOffer(t, sink, func() (Decision, error) { return sink.OfferDelta(now, d) })
+					if follows && decision != Accepted {
+						t.Fatalf("delta from the revision in force: %s", decision)
+					}
 				}
 			},
 			"transfer": func(t *rapid.T) {
@@ -180,7 +186,17 @@
 	})
 }
 
-func checkedOffer(t *rapid.T, s *Store, offer func() (Decision, error)) {
+// drawRevision returns a revision close to the one in force, so that long
+// chains of deltas come up.
+func drawRevision(t *rapid.T, s *Store) uint64 {
+	near := uint64(2)
+	if current := s.Current(); current != nil {
+		near = current.Revision() + 1
+	}
+	return near + 1 - rapid.SampledFrom([]uint64{0, 1, 1, 1, 2, 2, 2, 3}).Draw(t, "back")
+}
+
+func checkedOffer(t *rapid.T, s *Store, offer func() (Decision, error)) Decision {
 	before := s.Current()
 	decision, err := offer()
 	after := s.Current()
@@ -193,6 +209,7 @@
 	if (err == nil) != (decision == Accepted || decision == Same) {
 		t.Fatalf("%s with error %v", decision, err)
 	}
+	return decision
 }
 
 // checkSameIndexes compares a snapshot that was built step by step with one
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -79,7 +80,8 @@
 	if len(labels) > maxLabels {
 		f.at(p, "labels", figuref("%d labels", len(labels)), fmt.Sprintf("at most %d labels", maxLabels))
 	}
-	for key, value := range labels {
+	for _, key := range slices.Sorted(maps.Keys(labels)) {
+		value := labels[key]
 		if key == "" || !validText(key) {
 			f.at(p, "labels", key, "keyed by "+allowedName)
 		}
