Add the process state, the operator's interface and explanations

Cause: operators need to see state, treatment and the rule behind a placement. Change: packages lifecycle and rpcapi; Status, Treatment and Explain of balancer and agent.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,6 +83,7 @@
 	sessions  map[uint64]*backend
 	requests  map[uint64]context.CancelFunc
 	returns   *returns
+	refusals  refusals
 }
 
 // New binds the frame socket.
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -28,6 +28,7 @@
 		case flow.Close:
 			a.closeBackend(v.Key)
 		case flow.Drop:
+			a.refusals.add(time.Now(), v.Packet.Key, v.Kind, v.Cause)
 			a.drop(v.Packet.Key.Service, v.Kind)
 		}
 	}
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -85,6 +85,7 @@
 		m.Offers.Inc()
 	case offer.OpenRefused:
 		m.Error(f.Kind)
+		a.refusals.add(time.Now(), placement.Key(f.Key), f.Kind, f.Detail)
 		a.options.Logger.LogLimited(time.Now(), telemetry.Refused, f.Key.Service, f.Kind)
 	case offer.RequestStarted:
 		m.RequestsRun.Inc()
--- a/internal/flow/view.go
+++ b/internal/flow/view.go
@@ -174,3 +174,31 @@
 	}
 	return i >= 0 && (j < 0 || i < j)
 }
+
+// Knowledge is what an agent knows about one flow.
+type Knowledge struct {
+	Hash       uint64
+	Candidates []uint32
+	// Owned is set when the agent owns the flow.
+	Owned bool
+	// Directory is the owner by the directory, 0 when there is none.
+	Directory uint32
+	// Waiting is set while queries about the flow are in progress.
+	Waiting bool
+	// Settled is set when the agent needs to ask nobody as first candidate.
+	Settled bool
+}
+
+// Explain returns what the agent knows about a flow.
+func (c *Core) Explain(now time.Time, key placement.Key) Knowledge {
+	hash := c.hash(key)
+	target, _ := c.directory.lookup(now, hash)
+	return Knowledge{
+		Hash:       hash,
+		Candidates: slices.Clone(c.candidates(key.Service, hash)),
+		Owned:      c.flows[key] != nil,
+		Directory:  target,
+		Waiting:    c.pending[hash] != nil,
+		Settled:    !c.settle.unsettled(now, key.Service),
+	}
+}
--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,21 @@
+package lifecycle
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a process that serves again after it began to stop, because
+// its configuration arrived late.
+func TestReadyAfterDrainChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	var changes []State
+	m := New(func(_, to State) { changes = append(changes, to) })
+	c.Assert(m.Drain(), qt.IsNil)
+	c.Assert(m.Ready(), qt.IsNil)
+	c.Check(m.State(), qt.Equals, Draining)
+	c.Assert(m.Stop(), qt.IsNil)
+	c.Check(m.Drain(), qt.ErrorMatches, "process state stopped: .*")
+	c.Check(changes, qt.DeepEquals, []State{Draining, Stopped})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -88,6 +88,20 @@
 	return t.snapshot
 }
 
+// Order returns the candidates of a flow as this process sees them.
+func (t *Table) Order(key placement.Key) []Agent {
+	var order []Agent
+	for _, id := range t.placement.Candidates(key.Service, t.Hash(key), nil) {
+		order = append(order, t.agents[id])
+	}
+	return order
+}
+
+// Hash returns the hash of a flow.
+func (t *Table) Hash(key placement.Key) uint64 {
+	return t.placement.Hash(key)
+}
+
 // Plain returns the agent for a packet of a plain flow.
 func (t *Table) Plain(key placement.Key) (Agent, schema.ErrorKind) {
 	hash := t.placement.Hash(key)
--- /dev/null
+++ b/internal/rpcapi/rpcapi.go
@@ -0,0 +1,206 @@
+// Package rpcapi is the operator's interface of a process over net/rpc: state,
+// the treatment of work, and why a packet went where it went.
+package rpcapi
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// serviceName is the name under which a process registers with net/rpc.
+const serviceName = "Process"
+
+// Status is the state of a process.
+type Status struct {
+	Role     string `json:"role"`
+	Host     string `json:"host"`
+	Zone     string `json:"zone"`
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+	// Flows, Requests and Queued are present numbers.
+	Flows    int64 `json:"flows"`
+	Requests int64 `json:"requests"`
+	Queued   int64 `json:"queued"`
+	// Slots is the configured number of requests that run at the same time.
+	Slots int `json:"slots"`
+	// DirectoryEntries is the number of flows of other targets that are known.
+	DirectoryEntries int64 `json:"directory_entries"`
+	// ConfigAge is the time since the revision was accepted.
+	ConfigAge time.Duration `json:"config_age_ns"`
+	// LinkDoubted is set while the process suspects its own link.
+	LinkDoubted bool `json:"link_doubted"`
+	// ControlBytes is the number of bytes of control frames sent so far.
+	ControlBytes int64 `json:"control_bytes"`
+}
+
+// Treatment tells how the work of one member in one class was treated at one
+// target. It names no caller.
+type Treatment struct {
+	Host      string            `json:"host"`
+	Target    uint32            `json:"target"`
+	Member    string            `json:"member"`
+	Weight    uint32            `json:"weight"`
+	Class     string            `json:"class"`
+	Offered   uint64            `json:"offered"`
+	Admitted  uint64            `json:"admitted"`
+	Completed uint64            `json:"completed"`
+	Refused   map[string]uint64 `json:"refused"`
+	Flows     int               `json:"flows"`
+	SlotTime  time.Duration     `json:"slot_time_ns"`
+	WaitP50   time.Duration     `json:"wait_p50_ns"`
+	WaitP99   time.Duration     `json:"wait_p99_ns"`
+	RunP50    time.Duration     `json:"run_p50_ns"`
+	RunP99    time.Duration     `json:"run_p99_ns"`
+}
+
+// FlowQuery names a flow.
+type FlowQuery struct {
+	// Service is the service address as published.
+	Service netip.AddrPort
+	// Caller is the address and port of the caller.
+	Caller netip.AddrPort
+}
+
+// Candidate is one target of the order of a flow.
+type Candidate struct {
+	Target uint32 `json:"target"`
+	Host   string `json:"host"`
+	Usable bool   `json:"usable"`
+}
+
+// Explanation tells what a process knows about a flow and how it decided.
+type Explanation struct {
+	Process    string      `json:"process"`
+	Revision   uint64      `json:"revision"`
+	ServiceID  uint32      `json:"service_id"`
+	Service    string      `json:"service"`
+	Hash       uint64      `json:"hash"`
+	Candidates []Candidate `json:"candidates"`
+	// Chosen is the target to which a balancer sends packets of the flow now.
+	Chosen uint32 `json:"chosen"`
+	// Owned is set by the agent that owns the flow.
+	Owned bool `json:"owned"`
+	// Directory is the owner that an agent knows from the directory.
+	Directory uint32 `json:"directory"`
+	// Settled is false while an agent asks others before it opens a flow.
+	Settled bool `json:"settled"`
+	// Reason tells which rule decides about a packet of the flow now.
+	Reason string `json:"reason"`
+	// Refusals are the latest refusals of the caller at an agent.
+	Refusals []Refusal `json:"refusals,omitempty"`
+}
+
+// Refusal is one piece of work that an agent turned away or dropped.
+type Refusal struct {
+	At time.Time `json:"at"`
+	// Kind is the error kind, Detail the rule and the figures at that moment.
+	Kind   string `json:"kind"`
+	Detail string `json:"detail"`
+}
+
+// Process is what a process offers to operators.
+type Process interface {
+	Status() Status
+	Treatment() []Treatment
+	Explain(q FlowQuery) (Explanation, error)
+}
+
+// Empty is the argument of calls without one.
+type Empty struct{}
+
+// handler adapts a Process to the method form of net/rpc.
+type handler struct{ process Process }
+
+// Status implements the RPC of that name.
+func (h handler) Status(_ Empty, reply *Status) error {
+	*reply = h.process.Status()
+	return nil
+}
+
+// Treatment implements the RPC of that name.
+func (h handler) Treatment(_ Empty, reply *[]Treatment) error {
+	*reply = h.process.Treatment()
+	return nil
+}
+
+// Explain implements the RPC of that name.
+func (h handler) Explain(q FlowQuery, reply *Explanation) error {
+	explanation, err := h.process.Explain(q)
+	*reply = explanation
+	return err
+}
+
+// Serve answers calls until the context ends. It returns the bound address.
+func Serve(ctx context.Context, address string, p Process) (netip.AddrPort, error) {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, handler{p}); err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "register operator interface")
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrapf(err, "bind operator interface %s", address)
+	}
+	context.AfterFunc(ctx, func() { listener.Close() })
+	go server.Accept(listener)
+	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// Client calls one process.
+type Client struct {
+	client *rpc.Client
+}
+
+// Dial connects to a process within the time-out of the context.
+func Dial(ctx context.Context, address string) (*Client, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "process %s", address)
+	}
+	return &Client{client: rpc.NewClient(conn)}, nil
+}
+
+// Close closes the connection.
+func (c *Client) Close() error {
+	return c.client.Close()
+}
+
+// Status asks for the state of the process.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var reply Status
+	err := c.call(ctx, "Status", Empty{}, &reply)
+	return reply, err
+}
+
+// Treatment asks how work was treated.
+func (c *Client) Treatment(ctx context.Context) ([]Treatment, error) {
+	var reply []Treatment
+	err := c.call(ctx, "Treatment", Empty{}, &reply)
+	return reply, err
+}
+
+// Explain asks about a flow.
+func (c *Client) Explain(ctx context.Context, q FlowQuery) (Explanation, error) {
+	var reply Explanation
+	err := c.call(ctx, "Explain", q, &reply)
+	return reply, err
+}
+
+// call waits for the reply or the end of the context. net/rpc has no time-outs;
+// a call that is given up writes its late reply into the abandoned variable.
+func (c *Client) call(ctx context.Context, method string, args, reply any) error {
+	call := c.client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return errors.Wrap(call.Error, method)
+	case <-ctx.Done():
+		c.client.Close()
+		<-call.Done
+		return errors.Wrap(ctx.Err(), method)
+	}
+}
