--- a/caller/caller.go
+++ b/caller/caller.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,10 +83,8 @@
 	if len(balancers) == 0 {
 		balancers = []netip.AddrPort{settings.Service}
 	}
-	for _, address := range balancers {
-		if !address.IsValid() || address.Port() == 0 {
-			return nil, errors.Errorf("invalid balancer address %q", address)
-		}
+	if err := checkAddresses(balancers); err != nil {
+		return nil, err
 	}
 	seed, err := seedOf(settings)
 	if err != nil {
@@ -116,6 +115,31 @@
 	return c, nil
 }
 
+func checkAddresses(balancers []netip.AddrPort) error {
+	if len(balancers) == 0 {
+		return errors.New("no balancer address")
+	}
+	for _, address := range balancers {
+		if !address.IsValid() || address.Port() == 0 {
+			return errors.Errorf("invalid balancer address %q", address)
+		}
+	}
+	return nil
+}
+
+// SetBalancers changes the addresses that packets go to. Requests and sessions
+// in progress go on: any balancer reaches their targets.
+func (c *Client) SetBalancers(balancers []netip.AddrPort) error {
+	if err := checkAddresses(balancers); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.balancers = slices.Clone(balancers)
+	c.machine.SetBalancers(len(balancers))
+	return nil
+}
+
 func seedOf(settings Settings) (uint64, error) {
 	if settings.Seed != 0 {
 		return settings.Seed, nil
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -75,3 +75,12 @@
 		Requests: a.offers.Unfinished(),
 	}
 }
+
+// EndSessions tells the callers of open sessions that they end.
+func (a *Agent) EndSessions() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.offers != nil {
+		a.runOffer(a.offers.EndSessions(time.Now()))
+	}
+}
--- a/internal/backendtest/backendtest.go
+++ b/internal/backendtest/backendtest.go
@@ -31,6 +31,7 @@
 	inFlight int
 	highest  int
 	shed     bool
+	draining bool
 }
 
 // Start runs a backend server on loopback addresses that the system chooses. A
@@ -53,7 +54,10 @@
 		runs:     map[string]int{},
 		peers:    map[netip.AddrPort]bool{},
 	}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.handle)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /", s.handle)
+	mux.HandleFunc("GET /health", s.health)
+	s.http = &http.Server{Handler: mux}
 	go s.echo()
 	go s.http.Serve(listener)
 	return s, nil
@@ -82,6 +86,23 @@
 	s.shed = on
 }
 
+// SetDraining makes the health endpoint say that the server is leaving.
+func (s *Server) SetDraining(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = on
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		io.WriteString(w, "draining\n")
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
 // Runs returns how often each request ran.
 func (s *Server) Runs() map[string]int {
 	s.mu.Lock()
--- a/internal/request/machine.go
+++ b/internal/request/machine.go
@@ -89,6 +89,11 @@
 	}
 }
 
+// SetBalancers changes the number of balancers.
+func (m *Machine) SetBalancers(n int) {
+	m.balancers = n
+}
+
 func (m *Machine) flush() []Action {
 	out := m.out
 	m.out = nil
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -36,6 +36,10 @@
 		Message: "process was paused; offers and queued openings are dropped", Fields: []string{"jump"}}
 )
 
+// StateError reports a step of a stop that failed.
+var StateError = Event{Number: 111, Level: log.ErrorLevel, Name: "state_error",
+	Message: "a step of the process state failed", Fields: []string{"error"}}
+
 // Events of the configuration: 200 to 299.
 var (
 	ConfigAccepted = Event{Number: 200, Level: log.InfoLevel, Name: "config_accepted",
@@ -93,7 +97,7 @@
 // Events returns the catalogue, ordered by number.
 func Events() []Event {
 	return []Event{
-		ProcessStarted, ProcessReady, StopBegun, Stopped, ClockJump,
+		ProcessStarted, ProcessReady, StopBegun, Stopped, ClockJump, StateError,
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted,
