--- /dev/null
+++ b/internal/flow/flow_test.go
@@ -0,0 +1,189 @@
+package flow
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/peridotstall/peridotstall/internal/errkind"
+	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+// room is an admission with a number of free connections.
+type room struct{ free int }
+
+func (r *room) OpenFlow(time.Time, uint32) *errkind.Error {
+	if r.free == 0 {
+		return errkind.New(schema.ErrorKind_REFUSED_OVERLOAD, "full")
+	}
+	r.free--
+	return nil
+}
+
+func (r *room) CloseFlow(uint32) { r.free++ }
+
+func testTable() *placement.Table {
+	targets := []placement.Weighted{{ID: 1, Weight: 100}, {ID: 2, Weight: 100}, {ID: 3, Weight: 100}}
+	return placement.NewTable(1, [16]byte{1}, []placement.ServiceTargets{{Service: 1, Targets: targets}})
+}
+
+func testKey(i int) placement.Key {
+	addr := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+	return placement.Key{Service: 1, Caller: netip.AddrPortFrom(addr, 5000)}
+}
+
+// newTestCore returns a settled core of target 1.
+func newTestCore(free int, action schema.TimeoutAction) *Core {
+	c := New(start, 1, DefaultLimits(), &room{free})
+	c.SetView(start, View{
+		Table:    testTable(),
+		Services: map[uint32]Service{1: {ID: 1, TimeoutAction: action, IdleTimeout: time.Minute}},
+		Usable:   func(uint32) bool { return true },
+		Dead:     func(uint32) bool { return false },
+	})
+	c.lastTick = settled
+	return c
+}
+
+// settled is a time at which a core that started at start asks nobody.
+var settled = start.Add(2 * time.Minute)
+
+// keyAt returns a key for which target 1 is the candidate of a position.
+func keyAt(position, skip int) placement.Key {
+	table := testTable()
+	for i := 0; ; i++ {
+		key := testKey(i)
+		if table.Candidates(1, table.Hash(key), nil)[position] != 1 {
+			continue
+		}
+		if skip == 0 {
+			return key
+		}
+		skip--
+	}
+}
+
+func kinds(actions []Action) []string {
+	var list []string
+	for _, a := range actions {
+		list = append(list, fmt.Sprintf("%T", a))
+	}
+	return list
+}
+
+// Guards against a flood of unknown flows that grows memory without bound.
+func TestFloodOfUnknownFlowsIsBounded(t *testing.T) {
+	c := qt.New(t)
+	core := newTestCore(100, schema.TimeoutAction_ANSWER_UNKNOWN_OUTCOME)
+	for i := range 50_000 {
+		core.HandlePacket(settled, Packet{Key: testKey(i), Payload: make([]byte, wire.MaxPacket)})
+	}
+	stats := core.Stats()
+	limits := DefaultLimits()
+	c.Check(stats.Flows, qt.Equals, 100)
+	c.Check(stats.Held <= limits.HeldTotal, qt.IsTrue)
+	c.Check(len(core.pending) <= limits.HeldTotal, qt.IsTrue)
+	c.Check(stats.Promised <= limits.Promises, qt.IsTrue)
+}
+
+// Guards against a packet that reaches the backend server although the target
+// does not serve its service.
+func TestWrongServiceIsDropped(t *testing.T) {
+	c := qt.New(t)
+	core := newTestCore(100, schema.TimeoutAction_OPEN_ON_TIMEOUT)
+	key := testKey(1)
+	key.Service = 9
+	actions := core.HandlePacket(settled, Packet{Key: key})
+	c.Assert(kinds(actions), qt.DeepEquals, []string{"flow.Drop"})
+	c.Check(actions[0].(Drop).Kind, qt.Equals, schema.ErrorKind_WRONG_SERVICE)
+}
+
+// Guards against an agent that opens a flow after it promised another one not to.
+func TestPromiseIsKept(t *testing.T) {
+	c := qt.New(t)
+	core := newTestCore(100, schema.TimeoutAction_ANSWER_UNKNOWN_OUTCOME)
+	key := keyAt(0, 0)
+	hash := testTable().Hash(key)
+	reply := core.HandleAsk(settled, &schema.Ask{Sequence: 7, FlowHash: hash, Asker: 2, Service: 1})
+	c.Assert(kinds(reply), qt.DeepEquals, []string{"flow.SendReply"})
+	c.Assert(reply[0].(SendReply).Reply.Owned, qt.IsFalse)
+	actions := core.HandlePacket(settled, Packet{Key: key})
+	c.Assert(kinds(actions), qt.DeepEquals, []string{"flow.Forward"})
+	c.Check(actions[0].(Forward).Target, qt.Equals, uint32(2))
+}
+
+// Guards against a reply that belongs to an earlier query and opens a flow that
+// another target meanwhile owns.
+func TestLateReplyIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	core := newTestCore(100, schema.TimeoutAction_ANSWER_UNKNOWN_OUTCOME)
+	key := keyAt(1, 0)
+	asks := core.HandlePacket(settled, Packet{Key: key})
+	c.Assert(kinds(asks), qt.DeepEquals, []string{"flow.SendAsk"})
+	ask := asks[0].(SendAsk)
+	late := &schema.AskReply{Sequence: ask.Ask.Sequence + 1, FlowHash: ask.Ask.FlowHash, From: ask.Target}
+	c.Check(core.HandleReply(settled, late), qt.HasLen, 0)
+	answer := &schema.AskReply{Sequence: ask.Ask.Sequence, FlowHash: ask.Ask.FlowHash, From: ask.Target}
+	c.Check(kinds(core.HandleReply(settled, answer))[0], qt.Equals, "flow.Deliver")
+}
+
+// Guards against frames that agents pass around without end when their views
+// disagree about the owner.
+func TestHopLimit(t *testing.T) {
+	c := qt.New(t)
+	core := newTestCore(0, schema.TimeoutAction_OPEN_ON_TIMEOUT)
+	actions := core.HandlePacket(settled, Packet{Key: keyAt(0, 0), Hops: wire.MaxHops})
+	c.Assert(kinds(actions), qt.DeepEquals, []string{"flow.Drop"})
+	c.Check(actions[0].(Drop).Kind, qt.Equals, schema.ErrorKind_REFUSED_OVERLOAD)
+}
+
+// BenchmarkOwnedPacket measures the look-up of an owned flow.
+func BenchmarkOwnedPacket(b *testing.B) {
+	for _, flows := range []int{2_000, 200_000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			core := newTestCore(flows, schema.TimeoutAction_OPEN_ON_TIMEOUT)
+			var keys []placement.Key
+			for i := 0; len(keys) < flows; i++ {
+				key := testKey(i)
+				core.HandlePacket(settled, Packet{Key: key})
+				if core.Owns(key) {
+					keys = append(keys, key)
+				}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; b.Loop(); i++ {
+				core.HandlePacket(settled, Packet{Key: keys[i%flows]})
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures the timers of an agent, which walk over all flows once
+// a second and register displaced ones.
+func BenchmarkTick(b *testing.B) {
+	for _, flows := range []int{2_000, 20_000, 200_000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			core := newTestCore(flows, schema.TimeoutAction_OPEN_ON_TIMEOUT)
+			for i := 0; core.Stats().Flows < flows; i++ {
+				core.HandlePacket(settled, Packet{Key: testKey(i)})
+			}
+			for _, f := range core.flows {
+				f.idle = 0
+			}
+			now := settled
+			b.ResetTimer()
+			for b.Loop() {
+				now = now.Add(time.Second)
+				core.Tick(now)
+			}
+		})
+	}
+}
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -215,12 +215,18 @@
 		return nil
 	}
 	q.answered = true
-	if r.Owner != 0 && r.Owner != c.self {
+	if r.Owner != 0 && r.Owner != c.self && (r.Owned || !c.view.Dead(r.Owner)) {
 		c.directory.register(now, r.FlowHash, r.Owner)
 		c.handOver(waiting, r.Owner)
 		return c.out
 	}
-	c.askAlso(now, waiting, r.Also)
+	also := r.Also
+	if r.Owner != 0 {
+		// The replying agent knows an owner that looks dead from here. It is
+		// asked itself, like any other target that may own the flow.
+		also = append(slices.Clone(also), r.Owner)
+	}
+	c.askAlso(now, waiting, also)
 	if waiting.complete() {
 		c.finish(now, waiting)
 	}
