Keep verified parts and skip items that are in force

A reader of the configuration service assembles a whole configuration for every change, and most changes touch one part.

PartCache keeps the verified parts of the last configuration, and names those that have to be read. The store neither validates nor hashes items that it already holds.

--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +57,43 @@
 	}
 }
 
+// BenchmarkReaderTargetSize is what a reader of the configuration service does
+// for a change of one target.
+func BenchmarkReaderTargetSize(b *testing.B) {
+	c := largeConfig()
+	s := NewStore(testWindow)
+	var cache PartCache
+	next := func() (*schema.Index, []*schema.Part) {
+		c.Revision++
+		c.Targets[100] = proto.Clone(c.Targets[100]).(*schema.Target)
+		c.Targets[100].Capacity = uint32(c.Revision%100 + 1)
+		index, parts, err := Split(c, MaxValue)
+		if err != nil {
+			b.Fatal(err)
+		}
+		missing := cache.Missing(index)
+		return index, slices.DeleteFunc(parts, func(p *schema.Part) bool { return !slices.Contains(missing, p.GetName()) })
+	}
+	index, parts := next()
+	assembleAndOffer(b, s, &cache, index, parts)
+	for b.Loop() {
+		b.StopTimer()
+		index, parts = next()
+		b.StartTimer()
+		assembleAndOffer(b, s, &cache, index, parts)
+	}
+}
+
+func assembleAndOffer(b *testing.B, s *Store, cache *PartCache, index *schema.Index, parts []*schema.Part) {
+	whole, err := cache.Assemble(index, parts)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := s.Offer(start, whole); err != nil {
+		b.Fatal(err)
+	}
+}
+
 // build applies a delta without a digest.
 func build(base *Snapshot, d *schema.ConfigDelta) (*Snapshot, error) {
 	b := newBuilder(base)
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -46,49 +46,60 @@
 	return &builder{base: base, next: &Snapshot{}}
 }
 
-// collect orders the items of one kind by key and reports keys that occur twice.
-func collect[K cmp.Ordered, T proto.Message](b *builder, kind itemKind, p place, items []T, key func(T) K) []row[K, T] {
+// kindOf is what the builder needs to know about one kind of items.
+type kindOf[K cmp.Ordered, T any] struct {
+	kind  itemKind
+	place place
+	key   func(T) K
+	check func(*faults, place, T)
+}
+
+// collect validates the items of one kind by themselves, orders them by key
+// and reports keys that occur twice. Items that the base table holds are valid,
+// and their digest is known.
+func collect[K cmp.Ordered, T proto.Message](b *builder, of kindOf[K, T], base *table[K, T], items []T) []row[K, T] {
+	p := of.place
 	rows := make([]row[K, T], 0, len(items))
 	seen := make(map[K]int, len(items))
 	for i, item := range items {
-		k := key(item)
+		k := of.key(item)
 		if first, twice := seen[k]; twice {
-			b.at(place{list: p.list, index: i, key: ""}, p.label, k, fmt.Sprintf("different from that of %s[%d]", p.list, first))
+			p.index, p.key = i, ""
+			b.at(p, p.label, k, fmt.Sprintf("different from that of %s[%d]", p.list, first))
+			of.check(&b.faults, p, item)
 			continue
 		}
 		seen[k] = i
-		rows = append(rows, row[K, T]{k, item, b.hasher.item(kind, item)})
+		if at, ok := slices.BinarySearch(base.keys, k); ok && any(base.items[at]) == any(item) {
+			rows = append(rows, base.row(at))
+			continue
+		}
+		p.index, p.key = i, k
+		of.check(&b.faults, p, item)
+		rows = append(rows, row[K, T]{k, item, b.hasher.item(of.kind, item)})
 	}
 	slices.SortFunc(rows, func(x, y row[K, T]) int { return cmp.Compare(x.key, y.key) })
 	return rows
 }
 
-// inspect validates each item of a list by itself.
-func inspect[T any](b *builder, p place, items []T, key func(T) any, check func(*faults, place, T)) {
-	for i, item := range items {
-		p.index = i
-		p.key = key(item)
-		check(&b.faults, p, item)
-	}
-}
-
 var (
 	memberPlace  = place{list: "members", label: "name"}
 	servicePlace = place{list: "services", label: "id"}
 	targetPlace  = place{list: "targets", label: "id"}
 	policyPlace  = place{list: "policies", label: "name"}
+
+	memberKind  = kindOf[string, *schema.Member]{kindMember, memberPlace, (*schema.Member).GetName, checkMember}
+	serviceKind = kindOf[uint32, *schema.Service]{kindService, servicePlace, (*schema.Service).GetId, checkService}
+	targetKind  = kindOf[uint32, *schema.Target]{kindTarget, targetPlace, (*schema.Target).GetId, checkTarget}
+	policyKind  = kindOf[string, *schema.Policy]{kindPolicy, policyPlace, (*schema.Policy).GetName, checkPolicy}
 )
 
-// items collects and validates the items of a configuration or a delta.
+// items collects the items of a configuration or a delta.
 func (b *builder) items(c itemLists) {
-	b.members.put = collect(b, kindMember, memberPlace, c.GetMembers(), (*schema.Member).GetName)
-	b.services.put = collect(b, kindService, servicePlace, c.GetServices(), (*schema.Service).GetId)
-	b.targets.put = collect(b, kindTarget, targetPlace, c.GetTargets(), (*schema.Target).GetId)
-	b.policies.put = collect(b, kindPolicy, policyPlace, c.GetPolicies(), (*schema.Policy).GetName)
-	inspect(b, memberPlace, c.GetMembers(), func(m *schema.Member) any { return m.GetName() }, checkMember)
-	inspect(b, servicePlace, c.GetServices(), func(s *schema.Service) any { return s.GetId() }, checkService)
-	inspect(b, targetPlace, c.GetTargets(), func(t *schema.Target) any { return t.GetId() }, checkTarget)
-	inspect(b, policyPlace, c.GetPolicies(), func(p *schema.Policy) any { return p.GetName() }, checkPolicy)
+	b.members.put = collect(b, memberKind, b.base.members, c.GetMembers())
+	b.services.put = collect(b, serviceKind, b.base.services, c.GetServices())
+	b.targets.put = collect(b, targetKind, b.base.targets, c.GetTargets())
+	b.policies.put = collect(b, policyKind, b.base.policies, c.GetPolicies())
 }
 
 // itemLists is what a Config, a Part and a ConfigDelta have in common.
--- a/internal/config/parts.go
+++ b/internal/config/parts.go
@@ -24,40 +24,102 @@
 // that the index names. The error lists every fault; the content is not
 // validated.
 func Assemble(index *schema.Index, parts []*schema.Part) (*schema.Config, error) {
-	var f faults
-	byName := partsByName(&f, parts)
-	c := &schema.Config{Revision: index.GetRevision(), HashKey: index.GetHashKey()}
-	digest := hashKeySum(index.GetHashKey())
-	listed := map[string]bool{}
-	for i, ref := range index.GetParts() {
-		path := fmt.Sprintf("parts[%d]", i)
-		if listed[ref.GetName()] {
-			f.add(path+".name", ref.GetName(), "listed once")
-			continue
-		}
-		listed[ref.GetName()] = true
-		part, ok := byName[ref.GetName()]
-		if !ok {
-			f.add(path+".name", ref.GetName(), "the name of a part that was read")
-			continue
-		}
-		got := PartDigest(part)
-		if !bytes.Equal(got, ref.GetDigest()) {
-			f.add(path+".digest", figuref("%x", ref.GetDigest()), fmt.Sprintf("the digest of the part, %x", got))
+	return new(PartCache).Assemble(index, parts)
+}
+
+// PartCache keeps the verified parts of the last configuration, because most
+// changes touch one part. The zero value is empty. It is not safe for
+// concurrent use.
+type PartCache struct {
+	byDigest map[sum]*schema.Part
+}
+
+// Missing returns the names of the parts of the index that have to be read.
+func (pc *PartCache) Missing(index *schema.Index) []string {
+	var out []string
+	for _, ref := range index.GetParts() {
+		if _, ok := pc.verified(ref); !ok {
+			out = append(out, ref.GetName())
 		}
-		digest.xor(sum(got))
-		appendItems(c, part)
 	}
-	for _, name := range slices.Sorted(maps.Keys(byName)) {
-		if !listed[name] {
-			f.add("parts", name, "a part that the index lists")
+	return out
+}
+
+func (pc *PartCache) verified(ref *schema.PartRef) (*schema.Part, bool) {
+	if len(ref.GetDigest()) != DigestSize {
+		return nil, false
+	}
+	part, ok := pc.byDigest[sum(ref.GetDigest())]
+	return part, ok
+}
+
+// Assemble is like the function Assemble, and takes parts that are not given
+// from the cache. On success the cache holds the parts of this index.
+func (pc *PartCache) Assemble(index *schema.Index, parts []*schema.Part) (*schema.Config, error) {
+	a := &assembly{cache: pc, next: map[sum]*schema.Part{}, listed: map[string]bool{}}
+	a.given = partsByName(&a.faults, parts)
+	a.config = &schema.Config{Revision: index.GetRevision(), HashKey: index.GetHashKey()}
+	a.digest = hashKeySum(index.GetHashKey())
+	for i, ref := range index.GetParts() {
+		a.add(fmt.Sprintf("parts[%d]", i), ref)
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.given)) {
+		if !a.listed[name] {
+			a.faults.add("parts", name, "a part that the index lists")
 		}
 	}
-	c.Digest = digest[:]
-	if err := f.err(); err != nil {
+	if err := a.err(); err != nil {
 		return nil, err
 	}
-	return c, nil
+	a.config.Digest = a.digest[:]
+	pc.byDigest = a.next
+	return a.config, nil
+}
+
+// assembly is a configuration that is being assembled.
+type assembly struct {
+	faults
+	cache  *PartCache
+	given  map[string]*schema.Part
+	listed map[string]bool
+	next   map[sum]*schema.Part
+	config *schema.Config
+	digest sum
+}
+
+// add adds the part that a reference of the index names.
+func (a *assembly) add(path string, ref *schema.PartRef) {
+	if a.listed[ref.GetName()] {
+		a.faults.add(path+".name", ref.GetName(), "listed once")
+		return
+	}
+	a.listed[ref.GetName()] = true
+	part, ok := a.cache.verified(ref)
+	if !ok {
+		part, ok = a.check(path, ref)
+	}
+	if !ok {
+		return
+	}
+	got := sum(ref.GetDigest())
+	a.digest.xor(got)
+	a.next[got] = part
+	appendItems(a.config, part)
+}
+
+// check returns the given part if it has the digest that the index names.
+func (a *assembly) check(path string, ref *schema.PartRef) (*schema.Part, bool) {
+	part, ok := a.given[ref.GetName()]
+	if !ok {
+		a.faults.add(path+".name", ref.GetName(), "the name of a part that was read")
+		return nil, false
+	}
+	got := PartDigest(part)
+	if !bytes.Equal(got, ref.GetDigest()) {
+		a.faults.add(path+".digest", figuref("%x", ref.GetDigest()), fmt.Sprintf("the digest of the part, %x", got))
+		return nil, false
+	}
+	return part, true
 }
 
 func partsByName(f *faults, parts []*schema.Part) map[string]*schema.Part {
--- a/internal/config/parts_test.go
+++ b/internal/config/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -32,6 +33,34 @@
 	c.Check(got.Digest(), qt.DeepEquals, want.Digest())
 }
 
+// Guards against cached parts that hide a change, and against reading parts
+// that did not change.
+func TestPartCache(t *testing.T) {
+	c := qt.New(t)
+	var cache PartCache
+	s := NewStore(testWindow)
+	assemble := func(whole *schema.Config) []string {
+		index, parts, err := Split(whole, 1000)
+		c.Assert(err, qt.IsNil)
+		missing := cache.Missing(index)
+		read := slices.DeleteFunc(parts, func(p *schema.Part) bool { return !slices.Contains(missing, p.GetName()) })
+		got, err := cache.Assemble(index, read)
+		c.Assert(err, qt.IsNil)
+		decision, err := s.Offer(start, got)
+		c.Assert(err, qt.IsNil)
+		c.Assert(decision, qt.Equals, Accepted)
+		fresh, err := NewSnapshot(whole)
+		c.Assert(err, qt.IsNil)
+		c.Assert(s.Current().Digest(), qt.DeepEquals, fresh.Digest())
+		return missing
+	}
+	c.Check(assemble(testConfig(1)), qt.DeepEquals, []string{"part-0", "part-1", "part-2"})
+	before, _ := s.Current().Target(1)
+	c.Check(assemble(changed(2, func(c *schema.Config) { c.Policies[1].Priority = 7 })), qt.DeepEquals, []string{"part-2"})
+	after, _ := s.Current().Target(1)
+	c.Check(before == after, qt.IsTrue)
+}
+
 // Guards against parts of different revisions that are assembled into one
 // configuration.
 func TestAssembleFaults(t *testing.T) {
