--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -187,3 +187,25 @@
 		})
 	}
 }
+
+// Guards against flows that a successor process does not own, or owns with a
+// fresh idle time.
+func TestSuccessorOwnsTheFlows(t *testing.T) {
+	c := qt.New(t)
+	old := newTestCore(100, schema.TimeoutAction_OPEN_ON_TIMEOUT)
+	for i := range 30 {
+		old.HandlePacket(settled, Packet{Key: keyAt(0, i)})
+	}
+	successor := newTestCore(100, schema.TimeoutAction_OPEN_ON_TIMEOUT)
+	later := settled.Add(50 * time.Second)
+	left, _ := successor.Import(later, old.Export(later))
+	c.Assert(left, qt.HasLen, 0)
+	c.Check(successor.Stats().Flows, qt.Equals, 30)
+	c.Check(kinds(successor.HandlePacket(later, Packet{Key: keyAt(0, 0)})), qt.DeepEquals, []string{"flow.Deliver"})
+	successor.lastTick = later
+	successor.Tick(later.Add(time.Second))
+	c.Check(successor.Stats().Flows, qt.Equals, 30)
+	successor.lastTick = later.Add(11 * time.Second)
+	successor.Tick(later.Add(11 * time.Second))
+	c.Check(successor.Stats().Flows, qt.Equals, 1)
+}
