Let an agent process take over the flows of its predecessor

Cause: the upgrade of an agent is a planned change; a new process had none of the flows, so that all 10 flows of the test changed their source port at the backend server. Change: the running agent finishes its requests, gives flows and sessions with their local ports to the successor over the operator's interface and closes its sockets; the successor binds the same ports and keeps the incarnation.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/peridotstall/peridotstall/internal/flow"
 	"github.com/peridotstall/peridotstall/internal/offer"
 	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/rpcapi"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
 	"github.com/peridotstall/peridotstall/internal/tunnel"
@@ -84,6 +85,8 @@
 	requests  map[uint64]context.CancelFunc
 	returns   *returns
 	refusals  refusals
+	// predecessor is what the agent takes over; nil without one.
+	predecessor *rpcapi.Takeover
 }
 
 // New binds the frame socket.
@@ -125,10 +128,15 @@
 	a.view = newView(s, a.options.Settings.GetTarget())
 	a.options.Metrics.Revision.Set(int64(s.Revision()))
 	a.configureAdmission(now)
-	if a.flows == nil {
+	first := a.flows == nil
+	if first {
 		a.start(now)
 	}
 	a.runFlow(a.flows.SetView(now, a.flowView()))
+	if first && a.predecessor != nil {
+		a.importState(now, a.predecessor)
+		a.predecessor = nil
+	}
 }
 
 // SetHosts puts a new view of the fleet in force.
@@ -171,6 +179,11 @@
 func (a *Agent) Close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.closeAll()
+}
+
+// closeAll closes all sockets; the lock is held.
+func (a *Agent) closeAll() {
 	for key, b := range a.backends {
 		b.close()
 		delete(a.backends, key)
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -50,6 +50,10 @@
 	_, _ = b.conn.Write(data)
 }
 
+func (b *backend) local() netip.AddrPort {
+	return b.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
 func (b *backend) close() {
 	b.conn.Close()
 }
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -100,3 +100,9 @@
 	delete(a.backends, key)
 	time.AfterFunc(quarantine, b.close)
 }
+
+// lost counts a flow that could not be taken over from the predecessor.
+func (a *Agent) lost(service uint32, err error) {
+	a.options.Metrics.FlowsCut.Inc()
+	a.options.Logger.Log(telemetry.FlowLost, "service", service, "error", err)
+}
--- a/internal/rpcapi/rpcapi.go
+++ b/internal/rpcapi/rpcapi.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/peridotstall/peridotstall/internal/flow"
+	"github.com/peridotstall/peridotstall/internal/offer"
 )
 
 // serviceName is the name under which a process registers with net/rpc.
@@ -103,11 +106,39 @@
 	Detail string `json:"detail"`
 }
 
+// Takeover is what an agent process passes to its successor on the same host.
+type Takeover struct {
+	// Target is the target of both processes.
+	Target uint32
+	Flows  []FlowState
+	Offers offer.State
+	// Sessions holds the sockets of the sessions in Offers.
+	Sessions []SessionState
+}
+
+// FlowState is a plain flow with its socket.
+type FlowState struct {
+	Record flow.Record
+	// Local is the local address of the socket towards the backend server.
+	Local netip.AddrPort
+	// Return is the balancer through which answers go.
+	Return netip.AddrPort
+}
+
+// SessionState is the socket of a session.
+type SessionState struct {
+	Sequence uint64
+	Local    netip.AddrPort
+	Return   netip.AddrPort
+}
+
 // Process is what a process offers to operators.
 type Process interface {
 	Status() Status
 	Treatment() []Treatment
 	Explain(q FlowQuery) (Explanation, error)
+	// HandOver gives the flows of an agent to its successor.
+	HandOver() (*Takeover, error)
 }
 
 // Empty is the argument of calls without one.
@@ -135,6 +166,16 @@
 	return err
 }
 
+// HandOver implements the RPC of that name.
+func (h handler) HandOver(_ Empty, reply *Takeover) error {
+	state, err := h.process.HandOver()
+	if err != nil {
+		return err
+	}
+	*reply = *state
+	return nil
+}
+
 // Serve answers calls until the context ends. It returns the bound address.
 func Serve(ctx context.Context, address string, p Process) (netip.AddrPort, error) {
 	server := rpc.NewServer()
@@ -191,6 +232,13 @@
 	return reply, err
 }
 
+// HandOver asks a running agent for its flows; the agent ends afterwards.
+func (c *Client) HandOver(ctx context.Context) (*Takeover, error) {
+	reply := &Takeover{}
+	err := c.call(ctx, "HandOver", Empty{}, reply)
+	return reply, err
+}
+
 // call waits for the reply or the end of the context. net/rpc has no time-outs;
 // a call that is given up writes its late reply into the abandoned variable.
 func (c *Client) call(ctx context.Context, method string, args, reply any) error {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -86,6 +86,10 @@
 var BackendUnreachable = Event{Number: 410, Level: log.ErrorLevel, Name: "backend_unreachable",
 	Message: "backend server cannot be reached", Fields: []string{"service", "error"}}
 
+// FlowLost reports a flow that a successor process could not take over.
+var FlowLost = Event{Number: 411, Level: log.ErrorLevel, Name: "flow_lost",
+	Message: "flow of the previous process was lost", Fields: []string{"service", "error"}}
+
 // Events of packets and work: 500 to 599.
 var (
 	PacketDropped = Event{Number: 500, Level: log.WarnLevel, Name: "packet_dropped",
@@ -101,7 +105,7 @@
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted,
-		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable,
+		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
 	}
 }
--- a/internal/wire/window.go
+++ b/internal/wire/window.go
@@ -24,3 +24,13 @@
 	w.seen |= 1 << bit
 	return true
 }
+
+// NewWindow returns a window in which all numbers up to highest were received.
+func NewWindow(highest uint64) Window {
+	return Window{highest: highest, seen: ^uint64(0)}
+}
+
+// Highest returns the highest number received.
+func (w *Window) Highest() uint64 {
+	return w.highest
+}
