--- a/internal/config/parts_test.go
+++ b/internal/config/parts_test.go
@@ -84,7 +84,7 @@
 			c := qt.New(t)
 			index, parts, err := Split(testConfig(3), 1000)
 			c.Assert(err, qt.IsNil)
-			c.Assert(parts, qt.HasLen, 3)
+			c.Assert(len(parts), qt.Equals, 3)
 			_, err = Assemble(index, test.change(index, parts))
 			list, ok := err.(*ValidationError)
 			c.Assert(ok, qt.IsTrue, qt.Commentf("error %v", err))
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,180 @@
+// Package platform reads the configuration service and the host list. Both can
+// only be read and watched; a pending watch counts as one call.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/peridotstall/peridotstall/internal/config"
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+const (
+	// MaxWait is the longest time for which a watch asks the service to wait.
+	MaxWait = 60 * time.Second
+	// callTimeout bounds a call beyond its wait. The service answers in
+	// milliseconds; a silent connection must not block the reader.
+	callTimeout = 5 * time.Second
+	// maxConnections is one pending watch each for the index and the host list,
+	// and one connection for parts.
+	maxConnections = 3
+)
+
+var (
+	// ErrTooLarge reports a value above config.MaxValue.
+	ErrTooLarge = errors.New("value is too large")
+	// ErrMalformed reports a value that does not decode.
+	ErrMalformed = errors.New("value is malformed")
+	// ErrMismatch reports parts that do not fit the index. Usually another
+	// revision was published meanwhile, and the index has to be read again.
+	ErrMismatch = errors.New("parts do not fit the index")
+)
+
+// StatusError reports an HTTP status that the protocol does not provide for.
+type StatusError struct {
+	Path string
+	Code int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: unexpected HTTP status %d", e.Path, e.Code)
+}
+
+// Client reads the configuration service. It is safe for concurrent use.
+type Client struct {
+	base *url.URL
+	http *http.Client
+}
+
+// NewClient returns a client for the base URL of the service.
+func NewClient(baseURL string) (*Client, error) {
+	base, err := url.Parse(baseURL)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration service")
+	}
+	if base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return nil, errors.Errorf("configuration service: %q is not allowed, must be an http or https URL with a host", baseURL)
+	}
+	transport := &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections}
+	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}, nil
+}
+
+// noRedirect keeps one call of the client one call at the service.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Index returns the index if its revision is above after, and waits for one if
+// there is none. It returns false when there is nothing newer.
+func (c *Client) Index(ctx context.Context, after uint64, wait time.Duration) (*schema.Index, bool, error) {
+	index := &schema.Index{}
+	ok, err := c.watch(ctx, "v1/config/index", after, wait, index)
+	return index, ok, err
+}
+
+// Hosts returns the host list if its version is above after, and waits for one
+// if there is none. It returns false when there is nothing newer.
+func (c *Client) Hosts(ctx context.Context, after uint64, wait time.Duration) (*schema.HostList, bool, error) {
+	hosts := &schema.HostList{}
+	ok, err := c.watch(ctx, "v1/hosts", after, wait, hosts)
+	return hosts, ok, err
+}
+
+// Part returns the part with the name.
+func (c *Client) Part(ctx context.Context, name string) (*schema.Part, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	u := c.base.JoinPath("v1/config/parts", url.PathEscape(name))
+	part := &schema.Part{}
+	ok, err := c.get(ctx, u, part)
+	if err == nil && !ok {
+		err = &StatusError{u.Path, http.StatusNoContent}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return part, nil
+}
+
+// Fetch reads the parts of an index that the cache does not have and assembles
+// the configuration. The error is ErrMismatch when a part does not have the
+// digest that the index names.
+func (c *Client) Fetch(ctx context.Context, index *schema.Index, cache *config.PartCache) (*schema.Config, error) {
+	var parts []*schema.Part
+	for _, name := range cache.Missing(index) {
+		part, err := c.Part(ctx, name)
+		if err != nil {
+			return nil, err
+		}
+		// The index decides what the part is called.
+		part.Name = name
+		parts = append(parts, part)
+	}
+	whole, err := cache.Assemble(index, parts)
+	if err != nil {
+		return nil, errors.Wrap(ErrMismatch, err.Error())
+	}
+	return whole, nil
+}
+
+// watch reads a value that is newer than after.
+func (c *Client) watch(ctx context.Context, path string, after uint64, wait time.Duration, m proto.Message) (bool, error) {
+	wait = min(max(wait, 0), MaxWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	u := c.base.JoinPath(path)
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("wait", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	u.RawQuery = query.Encode()
+	return c.get(ctx, u, m)
+}
+
+// get reads one value; false when the service has none to send.
+func (c *Client) get(ctx context.Context, u *url.URL, m proto.Message) (bool, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return false, errors.Wrap(err, u.Path)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return false, errors.Wrap(err, "configuration service")
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return true, decode(u.Path, response.Body, m)
+	case http.StatusNoContent:
+		return false, nil
+	default:
+		return false, &StatusError{u.Path, response.StatusCode}
+	}
+}
+
+// decode reads a value and stops at the size limit.
+func decode(path string, body io.Reader, m proto.Message) error {
+	data, err := io.ReadAll(io.LimitReader(body, config.MaxValue+1))
+	if err != nil {
+		return errors.Wrap(err, path)
+	}
+	if len(data) > config.MaxValue {
+		return errors.Wrapf(ErrTooLarge, "%s: above %d bytes", path, config.MaxValue)
+	}
+	if err := protojson.Unmarshal(data, m); err != nil {
+		return errors.Wrapf(ErrMalformed, "%s: %v", path, err)
+	}
+	return nil
+}
