Add the control loop and its scenarios on a virtual clock

Cause: both daemons need the two cores joined with sockets, the configuration service and the clock, and the cores must be seen to work together.

--- /dev/null
+++ b/internal/control/fleet_test.go
@@ -0,0 +1,385 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/peridotstall/peridotstall/internal/config"
+	"github.com/peridotstall/peridotstall/internal/confsync"
+	"github.com/peridotstall/peridotstall/internal/hostlist"
+	"github.com/peridotstall/peridotstall/internal/membership"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/wire"
+)
+
+// fleet runs nodes in memory on a virtual clock: a queue of timed steps.
+type fleet struct {
+	t       testing.TB
+	rng     *rand.Rand
+	now     time.Time
+	steps   steps
+	number  uint64
+	procs   []*proc
+	byAddr  map[netip.AddrPort]*proc
+	service service
+	// loss is the share of messages lost; cut and drop block messages.
+	loss float64
+	cut  func(from, to *proc) bool
+	drop func(frame *schema.Frame) bool
+	// lowered describes the first decrease of a revision in force.
+	lowered string
+}
+
+type step struct {
+	at     time.Time
+	number uint64
+	run    func()
+}
+
+type steps []step
+
+func (s steps) Len() int      { return len(s) }
+func (s steps) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s steps) Less(i, j int) bool {
+	return s[i].at.Before(s[j].at) || (s[i].at.Equal(s[j].at) && s[i].number < s[j].number)
+}
+func (s *steps) Push(x any) { *s = append(*s, x.(step)) }
+func (s *steps) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// proc is one process; it carries out the actions of its node.
+type proc struct {
+	f      *fleet
+	name   string
+	zone   string
+	addr   netip.AddrPort
+	node   *node
+	store  *config.Store
+	up     bool
+	paused bool
+	// isReady is the state that a daemon would serve in.
+	isReady    bool
+	seen       *membership.View
+	generation int
+	doubted    int
+	rejections []confsync.Rejected
+	traffic    traffic
+	cpu        time.Duration
+	// inForce is the revision that the process last served with; it survives a
+	// restart, because the fleet must not see it go down.
+	inForce uint64
+	// lowest is the lowest revision passed on since the start.
+	lowest uint64
+}
+
+// service is the fake configuration service.
+type service struct {
+	f      *fleet
+	up     bool
+	config *schema.Config
+	hosts  *schema.HostList
+	// stale answers these processes with an old configuration.
+	stale   *schema.Config
+	staleTo map[string]bool
+	watches []watch
+	calls   int
+}
+
+type watch struct {
+	p          *proc
+	generation int
+	read       confsync.Read
+	until      time.Time
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newFleet(t testing.TB, seed uint64, size, zones int) *fleet {
+	if test, ok := t.(*testing.T); ok {
+		test.Parallel()
+	}
+	t.Logf("seed %d, %d processes, %d zones", seed, size, zones)
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 0)), now: epoch, byAddr: map[netip.AddrPort]*proc{}}
+	f.service = service{f: f, up: true, config: testConfig(1, min(size, 64)), staleTo: map[string]bool{}}
+	for i := range size {
+		p := &proc{f: f, name: fmt.Sprintf("host-%05d", i), zone: fmt.Sprintf("zone-%02d", i%zones)}
+		p.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+		f.procs = append(f.procs, p)
+		f.byAddr[p.addr] = p
+	}
+	f.service.hosts = f.hostList(1)
+	return f
+}
+
+func (f *fleet) hostList(version uint64) *schema.HostList {
+	list := &schema.HostList{Version: version}
+	for _, p := range f.procs {
+		list.Hosts = append(list.Hosts, &schema.Host{Name: p.name, Zone: p.zone, Address: p.addr.String(), State: schema.HostState_LIVE, Role: schema.Role_AGENT})
+	}
+	return list
+}
+
+func testConfig(revision uint64, targets int) *schema.Config {
+	c := &schema.Config{Revision: revision, HashKey: make([]byte, 16), Members: []*schema.Member{{Name: "shop", Weight: 1}}}
+	serves := &schema.Selector{Requirements: []*schema.Requirement{{Key: "serves", Operator: schema.Requirement_IN, Values: []string{"front"}}}}
+	c.Services = []*schema.Service{{Id: 1, Name: "front", Member: "shop", Mode: schema.Mode_DATAGRAM, Address: "198.51.100.1:80", Targets: serves}}
+	for i := range targets {
+		c.Targets = append(c.Targets, testTarget(i, uint32(100+revision)))
+	}
+	return c
+}
+
+func testTarget(i int, capacity uint32) *schema.Target {
+	return &schema.Target{
+		Id: uint32(i + 1), Host: fmt.Sprintf("host-%05d", i), Zone: "zone-00", Member: "shop",
+		AgentAddress: fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255),
+		Labels:       map[string]string{"serves": "front"}, Slots: 3, Connections: 2000, Capacity: capacity,
+	}
+}
+
+// publish changes one target and raises the revision.
+func (s *service) publish() uint64 {
+	next := proto.CloneOf(&schema.Config{Revision: s.config.Revision + 1, HashKey: s.config.HashKey})
+	next.Members, next.Services = s.config.Members, s.config.Services
+	next.Targets = append(next.Targets, s.config.Targets...)
+	at := int(next.Revision) % len(next.Targets)
+	next.Targets[at] = testTarget(at, uint32(100+next.Revision))
+	s.config = next
+	s.wake()
+	return next.Revision
+}
+
+func (s *service) publishHosts(list *schema.HostList) {
+	s.hosts = list
+	s.wake()
+}
+
+// answer returns whether the read can be answered with something newer.
+func (s *service) answer(p *proc, r confsync.Read) (func(), bool) {
+	now := s.f.now
+	if r.Kind == confsync.ReadHosts {
+		list := s.hosts
+		return func() { p.node.hostsRead(now, list) }, list.GetVersion() > r.After
+	}
+	c := s.config
+	if s.staleTo[p.name] || s.staleTo["*"] {
+		c = s.stale
+	}
+	if r.Kind == confsync.ReadParts {
+		whole := &schema.Config{Revision: c.Revision, HashKey: c.HashKey, Members: c.Members, Services: c.Services, Targets: c.Targets}
+		return func() { p.node.configRead(s.f.now, whole) }, true
+	}
+	// A stale service answers with its index whatever the reader knows.
+	return func() { p.node.indexRead(s.f.now, &schema.Index{Revision: c.Revision}) }, c.Revision > r.After || (c == s.stale && r.Wait == 0)
+}
+
+func (s *service) call(p *proc, r confsync.Read) {
+	s.calls++
+	if !s.up {
+		s.f.after(p, time.Second, func() { p.node.sync.ReadFailed(s.f.now, r.Kind) })
+		return
+	}
+	if run, ok := s.answer(p, r); ok || r.Wait == 0 {
+		if !ok {
+			run = s.nothing(p, r)
+		}
+		s.f.after(p, 5*time.Millisecond, run)
+		return
+	}
+	w := watch{p: p, generation: p.generation, read: r, until: s.f.now.Add(r.Wait)}
+	s.watches = append(s.watches, w)
+	s.f.after(p, r.Wait, func() { s.expire(w) })
+}
+
+func (s *service) nothing(p *proc, r confsync.Read) func() {
+	if r.Kind == confsync.ReadHosts {
+		return func() { p.node.hostsRead(s.f.now, nil) }
+	}
+	return func() { p.node.indexRead(s.f.now, nil) }
+}
+
+func (s *service) expire(w watch) {
+	for i := range s.watches {
+		if s.watches[i] == w {
+			s.watches = append(s.watches[:i], s.watches[i+1:]...)
+			s.nothing(w.p, w.read)()
+			return
+		}
+	}
+}
+
+func (s *service) wake() {
+	waiting := s.watches
+	s.watches = nil
+	for _, w := range waiting {
+		if run, ok := s.answer(w.p, w.read); ok && s.up {
+			s.f.after(w.p, 5*time.Millisecond, run)
+		} else {
+			s.watches = append(s.watches, w)
+		}
+	}
+}
+
+func (f *fleet) at(at time.Time, run func()) {
+	f.number++
+	heap.Push(&f.steps, step{at, f.number, run})
+}
+
+// after runs a step of a process unless it was restarted or is paused; the
+// time that the step takes is that of the cores.
+func (f *fleet) after(p *proc, wait time.Duration, run func()) {
+	generation := p.generation
+	f.at(f.now.Add(wait), func() {
+		if p.up && p.generation == generation && !p.paused {
+			began := time.Now()
+			run()
+			p.cpu += time.Since(began)
+		}
+	})
+}
+
+// run advances the clock.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.steps) > 0 && !f.steps[0].at.After(end) {
+		next := heap.Pop(&f.steps).(step)
+		f.now = next.at
+		next.run()
+	}
+	f.now = end
+}
+
+// until advances the clock in steps of 50 ms until the condition holds, at
+// most for the limit, and returns the time that it took.
+func (f *fleet) until(limit time.Duration, holds func() bool) time.Duration {
+	began := f.now
+	for !holds() {
+		if f.now.Sub(began) >= limit {
+			return f.now.Sub(began) + time.Nanosecond
+		}
+		f.run(50 * time.Millisecond)
+	}
+	return f.now.Sub(began)
+}
+
+// start starts or restarts a process with an empty memory.
+func (p *proc) start(peers ...netip.AddrPort) {
+	p.generation++
+	p.up, p.paused, p.isReady, p.lowest = true, false, false, 0
+	p.store = config.NewStore(6 * time.Second)
+	member := membership.Settings{Host: p.name, Incarnation: uint64(p.f.now.UnixMilli())}
+	p.node = newNode(confsync.Settings{Host: p.name, Peers: peers}, member, p.store, p.f.rng, p)
+	p.seen = p.node.detect.View()
+	p.ticks(p.generation)
+}
+
+// ticks runs the timers; a paused process misses them.
+func (p *proc) ticks(generation int) {
+	offset := time.Duration(p.f.rng.Int64N(int64(tickEvery)))
+	var tick func()
+	tick = func() {
+		if !p.up || p.generation != generation {
+			return
+		}
+		if !p.paused {
+			began := time.Now()
+			p.node.tick(p.f.now)
+			p.cpu += time.Since(began)
+		}
+		p.f.at(p.f.now.Add(tickEvery), tick)
+	}
+	p.f.at(p.f.now.Add(offset), tick)
+}
+
+func (p *proc) send(to netip.AddrPort, frame *schema.Frame) {
+	f := p.f
+	p.traffic.countSent(frame)
+	data, err := wire.AppendFrame(nil, frame)
+	if err != nil {
+		f.t.Errorf("%s sends a frame that does not fit: %v", p.name, err)
+		return
+	}
+	q := f.byAddr[to]
+	if q == nil || !q.up || (f.loss > 0 && f.rng.Float64() < f.loss) || (f.cut != nil && f.cut(p, q)) || (f.drop != nil && f.drop(frame)) {
+		return
+	}
+	wait := 500*time.Microsecond + time.Duration(f.rng.Int64N(int64(2*time.Millisecond)))
+	f.after(q, wait, func() {
+		got := &schema.Frame{}
+		if err := wire.DecodeFrame(data, got); err != nil {
+			f.t.Errorf("%s: %v", p.name, err)
+			return
+		}
+		q.traffic.countReceived(got)
+		q.node.receive(f.now, p.addr, got)
+	})
+}
+
+func (p *proc) read(r confsync.Read)           { p.f.service.call(p, r) }
+func (p *proc) hosts(*hostlist.Set)            {}
+func (p *proc) view(v *membership.View)        { p.seen = v }
+func (p *proc) unconfirmed()                   {}
+func (p *proc) rejected(r confsync.Rejected)   { p.rejections = append(p.rejections, r) }
+func (p *proc) linkDoubt(membership.LinkDoubt) { p.doubted++ }
+
+func (p *proc) config(s *config.Snapshot) {
+	if p.lowest == 0 {
+		p.lowest = s.Revision()
+	}
+	p.serve()
+}
+
+func (p *proc) ready() {
+	p.isReady = true
+	p.serve()
+}
+
+// serve records the revision in force and a decrease of it.
+func (p *proc) serve() {
+	if !p.isReady {
+		return
+	}
+	revision := p.store.Current().Revision()
+	if revision < p.inForce && p.f.lowered == "" {
+		p.f.lowered = fmt.Sprintf("%s went from revision %d to %d", p.name, p.inForce, revision)
+	}
+	p.inForce = revision
+}
+
+// startAll starts all processes and waits until they are ready and the
+// announcements have settled.
+func (f *fleet) startAll() {
+	for _, p := range f.procs {
+		p.start()
+	}
+	if took := f.until(20*time.Second, func() bool { return f.all(func(p *proc) bool { return p.isReady }) }); took > 20*time.Second {
+		f.t.Fatalf("processes are not ready after %v: %+v", took, f.procs[0].rejections)
+	}
+	f.run(5 * time.Second)
+}
+
+// all reports whether a condition holds for all running processes.
+func (f *fleet) all(holds func(*proc) bool) bool {
+	for _, p := range f.procs {
+		if p.up && !p.paused && !holds(p) {
+			return false
+		}
+	}
+	return true
+}
+
+// everywhere reports whether a revision is in force on all running processes.
+func (f *fleet) everywhere(revision uint64) func() bool {
+	return func() bool {
+		return f.all(func(p *proc) bool { return p.isReady && p.inForce >= revision })
+	}
+}
