--- a/internal/confsync/transfer.go
+++ b/internal/confsync/transfer.go
@@ -42,10 +42,10 @@
 	chunks  [][]byte
 	missing int
 	// next is the first missing chunk, last the end of the window asked for.
-	next int
-	last int
-	tries   int
-	until   time.Time
+	next  int
+	last  int
+	tries int
+	until time.Time
 }
 
 func (t *transfer) reset() {
