--- a/internal/offer/offer_test.go
+++ b/internal/offer/offer_test.go
@@ -168,6 +168,21 @@
 	b.c.Check(b.machine.Stats().PendingBytes, qt.Equals, 0)
 }
 
+// Guards against "not run" for a request that reached its deadline at the
+// backend server, and against a slot that is free before the backend server ends.
+func TestDeadlineAfterHandOver(t *testing.T) {
+	b := newBench(t, 1, 10)
+	token := b.token(1, 1)
+	b.fragment(1, token, 0, 1, []byte("x"))
+	b.c.Check(outcome(b.pass(10*time.Second)), qt.Equals, schema.ErrorKind_DEADLINE_EXCEEDED)
+	b.pass(10 * time.Minute)
+	b.c.Check(b.admission.running, qt.Equals, 1)
+	b.machine.BackendDone(b.now, 1, offer.Response{Status: 200})
+	b.c.Check(b.admission.running, qt.Equals, 0)
+	b.pass(time.Second)
+	b.c.Check(b.machine.Stats(), qt.Equals, offer.Stats{})
+}
+
 // Guards against room that leaks, or runs late, through expiry, deadlines, a
 // clock jump and draining.
 func TestWaysToEndBeforeHandOver(t *testing.T) {
