--- a/internal/offer/world_test.go
+++ b/internal/offer/world_test.go
@@ -60,17 +60,18 @@
 // virtual clock.
 type world struct {
 	scenario
-	now     time.Time
-	rng     *rand.Rand
-	queue   wakeup.Queue
-	events  map[uint64]func()
-	caller  *request.Machine
-	agents  []*agentProcess
-	calls   map[uint64]*call
-	ids     []uint64
-	runs    map[uint64]int
-	faults  []string
-	balance int // packets of the caller, for the rotation of openings
+	now          time.Time
+	rng          *rand.Rand
+	queue        wakeup.Queue
+	events       map[uint64]func()
+	caller       *request.Machine
+	agents       []*agentProcess
+	incarnations []uint64 // by target
+	calls        map[uint64]*call
+	ids          []uint64
+	runs         map[uint64]int
+	faults       []string
+	balance      int // packets of the caller, for the rotation of openings
 }
 
 func newWorld(s scenario) *world {
@@ -85,6 +86,7 @@
 	}
 	for target := range s.agents {
 		w.agents = append(w.agents, &agentProcess{})
+		w.incarnations = append(w.incarnations, 0)
 		w.boot(uint32(target + 1))
 	}
 	return w
@@ -93,6 +95,7 @@
 // boot starts an agent process with a new incarnation and empty memory.
 func (w *world) boot(target uint32) {
 	settings := offer.Settings{Target: target, Incarnation: w.rng.Uint64()}
+	w.incarnations[target-1] = settings.Incarnation
 	w.agents[target-1].machine = offer.New(settings, newFakeAdmission(w.slots, w.room, 10))
 }
 
--- a/internal/request/opening.go
+++ b/internal/request/opening.go
@@ -149,6 +149,9 @@
 
 // outcome takes the end of a request or session as stated by its owner.
 func (m *Machine) outcome(now time.Time, e *exchange, err *errkind.Error) {
+	if err.Kind == schema.ErrorKind_ERROR_KIND_NONE {
+		err.Kind = schema.ErrorKind_INTERNAL // an error needs a reason
+	}
 	answer := errkind.Lookup(err.Kind)
 	if e.phase == phaseCancelling && answer.Ran == errkind.RanNo {
 		m.fail(e, errkind.New(schema.ErrorKind_CANCELLED_NOT_RUN, "%s", err.Detail))
