--- a/internal/offer/joined_test.go
+++ b/internal/offer/joined_test.go
@@ -99,7 +99,7 @@
 func TestLargeTransferOverLossyLink(t *testing.T) {
 	for seed := range uint64(2) {
 		s := lossy(seed)
-		s.calls, s.minBody, s.maxBody, s.answerWords = 2, 1<<20, 4<<20, 1<<19
+		s.calls, s.minBody, s.maxBody, s.answerWords = 2, 1<<18, 1<<20, 1<<17
 		s.cancel, s.trouble, s.deadline = 0, 0, 10*time.Minute
 		w := newWorld(s).run()
 		qt.Check(t, w.violations(), qt.HasLen, 0)
