--- a/cmd/peridotstall/main.go
+++ b/cmd/peridotstall/main.go
@@ -1,22 +1,13 @@
-// Command peridotstall runs the roles of the load balancer and the operator's tools.
+// Command peridotstall runs the roles of the load balancer and the operator's
+// tools.
 package main
 
 import (
 	"os"
 
-	"github.com/spf13/cobra"
+	"github.com/peridotstall/peridotstall/internal/cli"
 )
 
 func main() {
-	if err := newRootCommand().Execute(); err != nil {
-		os.Exit(1)
-	}
-}
-
-func newRootCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:          "peridotstall",
-		Short:        "Layer-4 load balancer for operators who share a fleet",
-		SilenceUsage: true,
-	}
+	os.Exit(cli.Execute(os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/cli/tools.go
@@ -0,0 +1,183 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/peridotstall/peridotstall/internal/rpcapi"
+)
+
+// callTimeout bounds the calls to one process.
+const callTimeout = 2 * time.Second
+
+// answer is the reply of one process, or the error with which it failed.
+type answer[T any] struct {
+	Address string `json:"address"`
+	Error   string `json:"error,omitempty"`
+	Reply   T      `json:"reply"`
+}
+
+// ask calls all processes at the same time. A process that does not answer is
+// an answer with an error.
+func ask[T any](ctx context.Context, addresses []string, call func(context.Context, *rpcapi.Client) (T, error)) []answer[T] {
+	answers := make([]answer[T], len(addresses))
+	var calls sync.WaitGroup
+	for i, address := range addresses {
+		calls.Go(func() { answers[i] = askOne(ctx, address, call) })
+	}
+	calls.Wait()
+	return answers
+}
+
+func askOne[T any](ctx context.Context, address string, call func(context.Context, *rpcapi.Client) (T, error)) answer[T] {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a := answer[T]{Address: address}
+	client, err := rpcapi.Dial(ctx, address)
+	if err != nil {
+		a.Error = err.Error()
+		return a
+	}
+	defer client.Close()
+	reply, err := call(ctx, client)
+	if err != nil {
+		a.Error = err.Error()
+		return a
+	}
+	a.Reply = reply
+	return a
+}
+
+func writeJSON(w io.Writer, v any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(v), "write JSON")
+}
+
+func newTable(w io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+}
+
+func newStatus() *cobra.Command {
+	var asJSON bool
+	command := &cobra.Command{
+		Use:     "status ADDRESS...",
+		Short:   "Show the state of processes",
+		Long:    "Shows the state of processes, by the addresses of their operator's interfaces (rpc_address).",
+		Example: "  peridotstall status 127.0.0.1:7400 127.0.0.1:7401 --json",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			answers := ask(c.Context(), args, func(ctx context.Context, p *rpcapi.Client) (rpcapi.Status, error) {
+				return p.Status(ctx)
+			})
+			if asJSON {
+				return writeJSON(c.OutOrStdout(), answers)
+			}
+			return writeStatus(c.OutOrStdout(), answers)
+		},
+	}
+	command.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return command
+}
+
+func writeStatus(w io.Writer, answers []answer[rpcapi.Status]) error {
+	t := newTable(w)
+	fmt.Fprintln(t, "ADDRESS\tROLE\tHOST\tZONE\tSTATE\tREVISION\tAGE\tFLOWS\tREQUESTS\tQUEUED\tSLOTS\tDIRECTORY")
+	for _, a := range answers {
+		s := a.Reply
+		if a.Error != "" {
+			fmt.Fprintf(t, "%s\terror: %s\n", a.Address, a.Error)
+			continue
+		}
+		state := s.State
+		if s.LinkDoubted {
+			state += " (link doubted)"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%v\t%d\t%d\t%d\t%d\t%d\n", a.Address, s.Role, s.Host, s.Zone,
+			state, s.Revision, s.ConfigAge.Round(time.Second), s.Flows, s.Requests, s.Queued, s.Slots, s.DirectoryEntries)
+	}
+	return errors.Wrap(t.Flush(), "write table")
+}
+
+func newExplain() *cobra.Command {
+	var asJSON bool
+	var service, caller string
+	command := &cobra.Command{
+		Use:     "explain --service ADDRESS --caller ADDRESS PROCESS...",
+		Short:   "Show where packets of a flow go and why",
+		Example: "  peridotstall explain --service 192.0.2.1:7000 --caller 198.51.100.7:40000 127.0.0.1:7400",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			query, err := flowQuery(service, caller)
+			if err != nil {
+				return withStatus(exitSettings, err)
+			}
+			answers := ask(c.Context(), args, func(ctx context.Context, p *rpcapi.Client) (rpcapi.Explanation, error) {
+				return p.Explain(ctx, query)
+			})
+			if asJSON {
+				return writeJSON(c.OutOrStdout(), answers)
+			}
+			return writeExplanations(c.OutOrStdout(), answers)
+		},
+	}
+	command.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	command.Flags().StringVar(&service, "service", "", "service address and port, as published")
+	command.Flags().StringVar(&caller, "caller", "", "caller address and port")
+	return command
+}
+
+func flowQuery(service, caller string) (rpcapi.FlowQuery, error) {
+	var query rpcapi.FlowQuery
+	var err error
+	if query.Service, err = netip.ParseAddrPort(service); err != nil {
+		return query, errors.Wrapf(err, "--service %q", service)
+	}
+	if query.Caller, err = netip.ParseAddrPort(caller); err != nil {
+		return query, errors.Wrapf(err, "--caller %q", caller)
+	}
+	return query, nil
+}
+
+func writeExplanations(w io.Writer, answers []answer[rpcapi.Explanation]) error {
+	t := newTable(w)
+	fmt.Fprintln(t, "PROCESS\tREVISION\tSERVICE\tCANDIDATES\tRULE")
+	for _, a := range answers {
+		if a.Error != "" {
+			fmt.Fprintf(t, "%s\terror: %s\n", a.Address, a.Error)
+			continue
+		}
+		e := a.Reply
+		fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\n", e.Process, e.Revision, e.Service, candidateList(e.Candidates), e.Reason)
+		for _, r := range e.Refusals {
+			fmt.Fprintf(t, "\t\t\t%s\t%s %s\n", r.At.Format(time.RFC3339), r.Kind, r.Detail)
+		}
+	}
+	return errors.Wrap(t.Flush(), "write table")
+}
+
+// candidateList shows the order of candidates; one that gets no new flows is in
+// parentheses.
+func candidateList(list []rpcapi.Candidate) string {
+	text := ""
+	for i, c := range list {
+		if i > 0 {
+			text += " "
+		}
+		if c.Usable {
+			text += fmt.Sprintf("%d", c.Target)
+		} else {
+			text += fmt.Sprintf("(%d)", c.Target)
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/daemon/balancer.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/peridotstall/peridotstall/internal/balancer"
+	"github.com/peridotstall/peridotstall/internal/membership"
+	"github.com/peridotstall/peridotstall/internal/route"
+	"github.com/peridotstall/peridotstall/internal/rpcapi"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/telemetry"
+)
+
+// Balancer is a running balancer process.
+type Balancer struct {
+	*process
+	balancer *balancer.Balancer
+	cancel   context.CancelFunc
+	ended    chan error
+}
+
+// StartBalancer starts a balancer. It serves as soon as it has a confirmed
+// configuration; see Ready.
+func StartBalancer(settings *schema.BalancerSettings, logger *telemetry.Logger, policy route.Policy) (*Balancer, error) {
+	p, err := newProcess(schema.Role_BALANCER, settings.GetCommon(), logger)
+	if err != nil {
+		return nil, err
+	}
+	inner, err := balancer.New(balancer.Options{
+		Settings: settings,
+		Logger:   p.logger,
+		Metrics:  p.metrics,
+		Tracer:   p.tracer,
+		Policy:   policy,
+	})
+	if err != nil {
+		return nil, err
+	}
+	b := &Balancer{process: p, balancer: inner, ended: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	err = p.connect(inner.Tunnel(), 0, 0, hooks{
+		config:    inner.SetConfig,
+		view:      func(v *membership.View) { inner.SetHosts(v.Usable) },
+		confirmed: func() {},
+		doubt:     func() {},
+	})
+	if err == nil {
+		inner.SetControl(p.control)
+		err = p.serve(ctx, b)
+	}
+	if err != nil {
+		cancel()
+		inner.Close()
+		return nil, err
+	}
+	go func() { b.ended <- inner.Run(ctx) }()
+	return b, nil
+}
+
+// Ended receives the error with which the process ended by itself.
+func (b *Balancer) Ended() <-chan error {
+	return b.ended
+}
+
+// Stop announces that the balancer leaves, forwards until the fabric has moved
+// on or the context ends, and closes it. A balancer holds no flows, so that
+// nothing is cut.
+func (b *Balancer) Stop(ctx context.Context, reason string) (cut int) {
+	b.drain(reason)
+	b.balancer.Drain(ctx)
+	b.cancel()
+	b.balancer.Close()
+	b.finish(0, 0)
+	return 0
+}
+
+// Kill closes the balancer at once, as the end of its process would.
+func (b *Balancer) Kill() {
+	b.cancel()
+	b.balancer.Close()
+	b.metrics.Close()
+}
+
+// ListenerAddress returns the bound address of a service.
+func (b *Balancer) ListenerAddress(service uint32) (netip.AddrPort, bool) {
+	return b.balancer.ListenerAddress(service)
+}
+
+// Address returns the frame address.
+func (b *Balancer) Address() netip.AddrPort {
+	return b.balancer.Tunnel().Local()
+}
+
+// Status implements rpcapi.Process.
+func (b *Balancer) Status() rpcapi.Status {
+	return b.complete(b.balancer.Status())
+}
+
+// Treatment implements rpcapi.Process.
+func (b *Balancer) Treatment() []rpcapi.Treatment {
+	return b.balancer.Treatment()
+}
+
+// Explain implements rpcapi.Process.
+func (b *Balancer) Explain(q rpcapi.FlowQuery) (rpcapi.Explanation, error) {
+	return b.balancer.Explain(q)
+}
+
+// HandOver implements rpcapi.Process. A balancer holds nothing to hand over.
+func (b *Balancer) HandOver() (*rpcapi.Takeover, error) {
+	return nil, errors.New("a balancer has no flows; start the new one and stop this one")
+}
--- a/internal/rpcapi/rpcapi.go
+++ b/internal/rpcapi/rpcapi.go
@@ -187,10 +187,22 @@
 		return netip.AddrPort{}, errors.Wrapf(err, "bind operator interface %s", address)
 	}
 	context.AfterFunc(ctx, func() { listener.Close() })
-	go server.Accept(listener)
+	go accept(listener, server)
 	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
+// accept serves connections until the listener is closed. The loop of net/rpc
+// itself writes that end to the log as an error.
+func accept(listener net.Listener, server *rpc.Server) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go server.ServeConn(conn)
+	}
+}
+
 // Client calls one process.
 type Client struct {
 	client *rpc.Client
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -91,7 +91,13 @@
 func (l *Logger) Log(event Event, keyvals ...any) {
 	pairs := make([]any, 0, len(keyvals)+4)
 	pairs = append(pairs, "event", event.Number, "name", event.Name)
-	pairs = append(pairs, keyvals...)
+	for _, v := range keyvals {
+		if err, ok := v.(error); ok {
+			// The formatter would print the stack trace of the error.
+			v = err.Error()
+		}
+		pairs = append(pairs, v)
+	}
 	l.out.Log(event.Level, event.Message, pairs...)
 }
 
