--- a/internal/admission/measure_test.go
+++ b/internal/admission/measure_test.go
@@ -138,7 +138,7 @@
 // differs only in that it is admitted.
 func TestRefusalsAreTrue(t *testing.T) {
 	t.Parallel()
-	baseGood, baseLate := 0, 0
+	var base tally
 	both(t, func(name string, slots int, seed uint64, a Algorithm) {
 		s := deep(seed, slots, a).run(length / 2)
 		checked, true := 0, 0
@@ -151,23 +151,21 @@
 				true++
 			}
 		}
-		good, late, expired := 0, 0, 0
-		for _, src := range s.sources {
-			good += src.good
-			late += src.late
-			expired += src.expired
-		}
+		sum := s.total()
 		t.Logf("%s: refused for the deadline %d, %d of %d true; met %d, ran in vain %d, expired %d",
-			name, len(s.refusals), true, checked, good, late, expired)
+			name, len(s.refusals), true, checked, sum.good, sum.late, sum.expired)
 		if a == FIFO {
-			baseGood, baseLate = good, late
+			base = sum
 		}
-		if bounded(a) && (good <= baseGood || late >= baseLate) {
-			t.Errorf("met %d, fifo %d; ran in vain %d, fifo %d", good, baseGood, late, baseLate)
+		if bounded(a) && (sum.good <= base.good || sum.late >= base.late) {
+			t.Errorf("%+v, fifo %+v", sum, base)
 		}
 	})
 }
 
+// speeds of seven targets; they add up to 17.5.
+var speeds = []float64{1, 1.5, 2, 2.5, 3, 3.5, 4}
+
 // Guards against a load imbalance above 1.15 at 80% load over seven targets of
 // speed 1 to 4, with requests of their own keys and with the requests of few
 // callers. The baselines are hashing without a second candidate, and passing on
@@ -181,14 +179,14 @@
 		if a == FIFO {
 			return
 		}
-		n := 0.8 * 17.5 * float64(slots) // the speeds add up to 17.5
+		n := 0.8 * 17.5 * float64(slots)
 		for _, callers := range []int{0, 60} {
 			sources := []source{bids(0.4 * n), payments(0.3 * n), uploads(0.3 * n)}
 			for i := range sources {
 				sources[i].callers = callers
 			}
 			run := func(pass func(Load, int, int, bool) bool) *simulation {
-				s := newSimulation(seed, settings(slots, a), []float64{1, 1.5, 2, 2.5, 3, 3.5, 4}, sources...)
+				s := newSimulation(seed, settings(slots, a), speeds, sources...)
 				s.pass = pass
 				return s.run(length / 4)
 			}
@@ -202,6 +200,32 @@
 	})
 }
 
+// Guards against overflow that moves a member further from its share of the
+// fleet (a quarter for the shop) than no overflow does, when the other member
+// floods all targets and the callers of the shop are few.
+func TestFleetShare(t *testing.T) {
+	t.Parallel()
+	both(t, func(name string, slots int, seed uint64, a Algorithm) {
+		n := 17.5 * float64(slots)
+		for _, callers := range []int{1, 4, 16, 0} {
+			shop := bids(0.25 * n)
+			shop.member, shop.callers = "shop", callers
+			share := func(pass func(Load, int, int, bool) bool) float64 {
+				s := newSimulation(seed, settings(slots, a), speeds, shop, bids(2*n))
+				s.pass = pass
+				s.run(short / 2)
+				all := s.slotShare(short/2, func(ClassStats) bool { return true })
+				return s.slotShare(short/2, func(st ClassStats) bool { return st.Member == "shop" }) / all
+			}
+			without, with := share(nil), share(Overflow)
+			t.Logf("%s callers=%d: share without overflow %.3f, with %.3f", name, callers, without, with)
+			if bounded(a) && with < without {
+				t.Errorf("share %.3f with overflow, %.3f without", with, without)
+			}
+		}
+	})
+}
+
 // bounded reports whether the bounds apply. With ADMISSION_CHECK_BASELINE=1 they
 // also apply to the baseline, which shows that the checks can fail.
 func bounded(a Algorithm) bool {
--- a/internal/admission/sim_test.go
+++ b/internal/admission/sim_test.go
@@ -120,11 +120,12 @@
 
 // candidates is the weighted rendezvous order of the servers by capacity.
 func (s *simulation) candidates(key uint64) []*server {
-	score := func(sv *server) float64 {
-		return rand.New(rand.NewPCG(key, uint64(sv.id))).ExpFloat64() / sv.speed
-	}
 	order := slices.Clone(s.servers)
-	slices.SortFunc(order, func(a, b *server) int { return cmp.Compare(score(a), score(b)) })
+	scores := make([]float64, len(order))
+	for i, sv := range order {
+		scores[i] = rand.New(rand.NewPCG(key, uint64(i))).ExpFloat64() / sv.speed
+	}
+	slices.SortFunc(order, func(a, b *server) int { return cmp.Compare(scores[a.id], scores[b.id]) })
 	return order
 }
 
@@ -190,18 +191,32 @@
 	}
 }
 
-// slotShare is the share of all slot time that the matching work got.
+// slotShare is the share of the capacity that the matching work got.
 func (s *simulation) slotShare(length time.Duration, match func(ClassStats) bool) float64 {
-	got, slots := 0.0, 0
+	got, capacity := 0.0, 0.0
 	for _, sv := range s.servers {
-		slots += sv.settings.Slots
+		capacity += sv.speed * float64(sv.settings.Slots) * length.Seconds()
 		for _, st := range sv.Stats() {
 			if match(st) {
-				got += st.SlotTime.Seconds()
+				got += sv.speed * st.SlotTime.Seconds()
 			}
 		}
 	}
-	return got / (float64(slots) * length.Seconds())
+	return got / capacity
+}
+
+// total sums the tallies of the sources.
+func (s *simulation) total() tally {
+	var sum tally
+	for _, src := range s.sources {
+		sum.good += src.good
+		sum.late += src.late
+		sum.shed += src.shed
+		sum.expired += src.expired
+		sum.overload += src.overload
+		sum.deadlineRefused += src.deadlineRefused
+	}
+	return sum
 }
 
 // imbalance is the largest use of a server over the mean.
