Measure the concurrency limit and round its bound for slow service up

Cause: with 3 slots, slow service cut the limit to 1, since half of 3 was rounded down. The limit had no test.

Change: slow service leaves at least half of the slots, rounded up. ColdStart starts the slow start again for a backend server that restarted. TestConcurrencyLimit checks that the limit follows shedding and slow service and grows back.

With ADMISSION_CHECK_BASELINE=1 the test fails for fifo.

Conclusion: the limit follows the backend server within the test's phases.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// shedFactor and slowFactor shrink the limit when the backend server sheds
@@ -60,6 +63,13 @@
 	l.slowStart = true
 }
 
+// ColdStart starts the slow start again, for a backend server that restarted.
+func (c *Controller) ColdStart() {
+	if c.settings.Algorithm != FIFO {
+		c.limit.coldStart()
+	}
+}
+
 // slots returns the number of requests that may run.
 func (l *limiter) slots() int {
 	return int(l.limit)
@@ -75,7 +85,7 @@
 		return
 	}
 	if l.slow(cl, r.ServiceTime) {
-		l.cut(now, cl, slowFactor, slowShare*l.most)
+		l.cut(now, cl, slowFactor, math.Ceil(slowShare*l.most))
 		return
 	}
 	l.grow(busy)
--- a/internal/admission/measure_test.go
+++ b/internal/admission/measure_test.go
@@ -226,6 +226,35 @@
 	})
 }
 
+// Guards against a concurrency limit that does not follow a backend server that
+// sheds or slows down, or that does not grow back.
+func TestConcurrencyLimit(t *testing.T) {
+	t.Parallel()
+	var base tally
+	both(t, func(name string, slots int, seed uint64, a Algorithm) {
+		s := newSimulation(seed, settings(slots, a), []float64{1}, bids(0.9*float64(slots)))
+		sv := s.servers[0]
+		limits := []int{sv.limit.slots()}
+		at := func(seconds time.Duration, change func()) {
+			s.after(seconds*time.Second, func() { limits = append(limits, sv.limit.slots()); change() })
+		}
+		sv.shedAbove = 2
+		at(20, func() { sv.shedAbove = 0 })
+		at(30, func() { sv.speed = 0.25 })
+		at(32, func() { sv.speed = 1 })
+		at(59, func() {})
+		sum := s.run(length).total()
+		t.Logf("%s: limits at start, shedding, after, slow, after: %v; met %d, shed %d", name, limits, sum.good, sum.shed)
+		if a == FIFO {
+			base = sum
+		}
+		low := limits[1] < slots && limits[2] == slots && limits[3] < slots && limits[4] == slots
+		if bounded(a) && (!low || sum.shed >= base.shed) {
+			t.Errorf("limits %v; %d shed, fifo %d", limits, sum.shed, base.shed)
+		}
+	})
+}
+
 // bounded reports whether the bounds apply. With ADMISSION_CHECK_BASELINE=1 they
 // also apply to the baseline, which shows that the checks can fail.
 func bounded(a Algorithm) bool {
