Remove the measurement of the proportional factor

Cause: TestProportionalLimit measured a rule that was not kept, has no bound and took 5 s.

Change: the test and the hook of the fake that it used are removed.

Conclusion: the tests check what the controller does.

--- a/internal/admission/measure_test.go
+++ b/internal/admission/measure_test.go
@@ -255,51 +255,6 @@
 	})
 }
 
-// Measures a factor that decreases in proportion between a soft limit of half of
-// the queue and the limit itself, against the plain limit.
-func TestProportionalLimit(t *testing.T) {
-	t.Parallel()
-	for _, limit := range []uint32{12, 40} {
-		for _, load := range [][3]float64{{0.7, 0.4, 0.5}, {20, 0.2, 0.2}, {0.4, 0.3, 20}} {
-			sums := [2]tally{}
-			both(t, func(_ string, slots int, seed uint64, a Algorithm) {
-				set := settings(slots, WeightedFair)
-				for _, cl := range set.Classes {
-					cl.QueueLimit = limit
-				}
-				n := float64(slots)
-				s := newSimulation(seed, set, []float64{1}, bids(load[0]*n), payments(load[1]*n), uploads(load[2]*n))
-				if a == FIFO { // the run of the baseline is used for the factor
-					s.gate = proportional(0.5)
-				}
-				sum := s.run(length / 3).total()
-				sums[a].good += sum.good
-				sums[a].late += sum.late + sum.expired
-				sums[a].overload += sum.overload + sum.deadlineRefused
-			})
-			for a, name := range []string{WeightedFair: "plain limit", FIFO: "factor"} {
-				t.Logf("queue=%d load=%v %s: met %d, late or expired %d, refused %d",
-					limit, load, name, sums[a].good, sums[a].late, sums[a].overload)
-			}
-		}
-	}
-}
-
-// proportional admits the part of the requests that the factor tells.
-func proportional(soft float64) func(*server, Request) bool {
-	credit := map[*queue]float64{}
-	return func(sv *server, r Request) bool {
-		q := sv.queue(r.Member, r.Class)
-		waiting, limit := sv.occupancy(q)
-		credit[q] += min(1, (1-float64(waiting)/float64(limit))/(1-soft))
-		if credit[q] < 1 {
-			return false
-		}
-		credit[q]--
-		return true
-	}
-}
-
 // bounded reports whether the bounds apply. With ADMISSION_CHECK_BASELINE=1 they
 // also apply to the baseline, which shows that the checks can fail.
 func bounded(a Algorithm) bool {
--- a/internal/admission/sim_test.go
+++ b/internal/admission/sim_test.go
@@ -52,7 +52,6 @@
 	servers  []*server
 	sources  []*source
 	pass     func(l Load, hops, candidates int, refused bool) bool // nil passes nothing on
-	gate     func(sv *server, r Request) bool                      // nil lets every request ask for room
 	forced   int                                                   // number of a call that is admitted whatever its deadline
 	refusals []*call                                               // refused for their deadline
 	calls    int
@@ -151,10 +150,6 @@
 	if passOn(false) {
 		return
 	}
-	if s.gate != nil && !s.gate(sv, r) {
-		c.from.overload++
-		return
-	}
 	t, refusal := sv.Reserve(s.now, r)
 	switch {
 	case refusal == nil:
