Refuse class names and clip details that cannot be encoded

Cause: an opening with a class name that is too long or not UTF-8, and an outcome with such a detail of the backend server, could not be encoded. The packet was dropped at every repetition and the caller waited for its deadline. Change: the caller refuses such a class as MALFORMED; the agent removes invalid bytes from details. Tests cover both.

--- a/internal/offer/offer_test.go
+++ b/internal/offer/offer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -183,6 +184,16 @@
 	b.c.Check(b.machine.Stats(), qt.Equals, offer.Stats{})
 }
 
+// Guards against a text of the backend server that makes the outcome impossible
+// to encode, so that the caller would wait for its deadline.
+func TestOutcomeAlwaysEncodes(t *testing.T) {
+	b := newBench(t, 1, 10)
+	b.fragment(1, b.token(1, 1), 0, 1, []byte("x"))
+	failed := offer.Response{Kind: schema.ErrorKind_BACKEND_FAILED, Detail: strings.Repeat("\xffé", 2000)}
+	_, err := wire.EncodeCaller(sent(b.machine.BackendDone(b.now, 1, failed))[0])
+	b.c.Check(err, qt.IsNil)
+}
+
 // Guards against room that leaks, or runs late, through expiry, deadlines, a
 // clock jump and draining.
 func TestWaysToEndBeforeHandOver(t *testing.T) {
--- a/internal/offer/request.go
+++ b/internal/offer/request.go
@@ -294,9 +294,11 @@
 	}}}
 }
 
+// clip bounds a text and removes what cannot be encoded, since a detail may come
+// from a backend server.
 func clip(detail string) string {
-	if len(detail) <= maxDetail {
-		return detail
+	if len(detail) > maxDetail {
+		detail = detail[:maxDetail]
 	}
-	return strings.ToValidUTF8(detail[:maxDetail], "")
+	return strings.ToValidUTF8(detail, "")
 }
--- a/internal/request/opening.go
+++ b/internal/request/opening.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	"github.com/peridotstall/peridotstall/internal/errkind"
 	"github.com/peridotstall/peridotstall/internal/fragment"
@@ -32,6 +33,9 @@
 	if len(e.call.Body) > fragment.MaxSize {
 		return errkind.New(schema.ErrorKind_TOO_LARGE, "%d bytes, limit %d", len(e.call.Body), fragment.MaxSize)
 	}
+	if len(e.call.Class) > maxClass || !utf8.ValidString(e.call.Class) {
+		return errkind.New(schema.ErrorKind_MALFORMED, "class name")
+	}
 	if !now.Before(e.call.Deadline) {
 		return errkind.New(schema.ErrorKind_REFUSED_DEADLINE, "no time left")
 	}
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/request"
 	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/wire"
 )
 
 const seed = 11
@@ -116,3 +118,20 @@
 	c.Check(declined.Packet.Token.Sequence, qt.Equals, uint64(2))
 	c.Check(m.Receive(epoch, offerOf(id, 1)), qt.HasLen, 0)
 }
+
+// Guards against an opening that cannot be encoded and would be repeated until
+// the deadline.
+func TestCallsThatCannotBeSent(t *testing.T) {
+	for _, call := range []request.Call{
+		{Class: "\xff", Deadline: epoch.Add(time.Second)},
+		{Class: strings.Repeat("x", 2000), Deadline: epoch.Add(time.Second)},
+		{Body: make([]byte, wire.MaxFragment*wire.MaxFragments+1), Deadline: epoch.Add(time.Second)},
+		{Deadline: epoch},
+	} {
+		m := request.New(1, rand.New(rand.NewPCG(seed, seed)))
+		_, actions := m.Start(epoch, call)
+		end, _ := last[request.Finished](actions)
+		qt.Check(t, end.Err.NotRun(), qt.IsTrue)
+		qt.Check(t, actions, qt.HasLen, 1)
+	}
+}
--- a/internal/request/types.go
+++ b/internal/request/types.go
@@ -72,6 +72,9 @@
 const (
 	// MaxInProgress bounds the requests and sessions of one client.
 	MaxInProgress = 65536
+	// maxClass bounds the name of a class, in bytes, so that an opening always
+	// fits a packet.
+	maxClass = 256
 	// maxAttempts bounds the targets that are tried; a flow has at most four
 	// candidates.
 	maxAttempts = 4
