Pass openings of requests on to the next candidate

Cause: the rule that spreads load was measured in the admission package but no agent used it; 60 requests in a burst met two targets with one slot each and none was passed on, also because offers whose requests had not arrived did not count. Before: 0 openings passed (TestBusyTargetPassesOpeningsOn fails). After: passes.

--- a/internal/admission/overflow.go
+++ b/internal/admission/overflow.go
@@ -9,6 +9,9 @@
 type Load struct {
 	// Running and Slots are the requests that run and may run.
 	Running, Slots int
+	// Reserved are offers whose requests have not arrived yet. They count like
+	// running requests: a burst of openings arrives before the first request.
+	Reserved int
 	// Waiting is the queue room that the member uses, reservations included.
 	Waiting int
 	// Wait is the expected wait of the opening.
@@ -19,7 +22,23 @@
 func (c *Controller) Load(member, class string) Load {
 	q := c.queue(member, class)
 	wait, _ := c.expectedWait(q)
-	return Load{Running: c.running, Slots: c.limit.slots(), Waiting: c.memberWaiting(q.member), Wait: wait}
+	return Load{
+		Running:  c.running,
+		Slots:    c.limit.slots(),
+		Reserved: c.reserved(),
+		Waiting:  c.memberWaiting(q.member),
+		Wait:     wait,
+	}
+}
+
+func (c *Controller) reserved() int {
+	total := 0
+	for _, cl := range c.classes {
+		for _, q := range cl.queues {
+			total += q.reserved
+		}
+	}
+	return total
 }
 
 // memberWaiting is the queue room that a member uses in all classes.
@@ -44,5 +63,5 @@
 	if hops >= maxHops || candidates == 0 {
 		return false
 	}
-	return refused || l.Running >= l.Slots && l.Waiting > 0
+	return refused || l.Running+l.Reserved >= l.Slots && l.Waiting > 0
 }
--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -68,7 +68,15 @@
 	}
 	service, ok := a.view.snapshot.Service(key.Service)
 	if ok && service.GetMode() == schema.Mode_REQUEST {
-		a.handleCaller(now, key, back, age, data)
+		a.handleCaller(now, opening{
+			key:    key,
+			back:   back,
+			age:    age,
+			hops:   int(f.GetHops()),
+			passed: f.GetPassed(),
+			trace:  span.TraceParent(),
+			data:   data,
+		})
 		return
 	}
 	a.runFlow(a.flows.HandlePacket(now, flow.Packet{
@@ -85,21 +93,25 @@
 // handleCaller takes a packet of the caller package. A new opening is accepted
 // only for a service of this target; packets with a token are checked by the
 // request state machine.
-func (a *Agent) handleCaller(now time.Time, key placement.Key, back netip.AddrPort, age time.Duration, data []byte) {
-	p, err := wire.DecodeCaller(data)
+func (a *Agent) handleCaller(now time.Time, o opening) {
+	p, err := wire.DecodeCaller(o.data)
 	if err != nil {
-		a.drop(key.Service, schema.ErrorKind_MALFORMED)
+		a.drop(o.key.Service, schema.ErrorKind_MALFORMED)
 		return
 	}
-	a.returns.put(now, key, back)
-	if p.GetOpen() != nil && a.view.services[key.Service] == nil {
-		a.drop(key.Service, schema.ErrorKind_WRONG_SERVICE)
-		a.sendCaller(key, refusal(p, schema.ErrorKind_WRONG_SERVICE, a.options.Settings.GetTarget()))
-		return
+	o.packet = p
+	a.returns.put(now, o.key, o.back)
+	switch {
+	case p.GetOpen() == nil:
+		peer := offer.Peer{Caller: o.key.Caller, Age: o.age}
+		service := offer.Service{ID: o.key.Service, Member: a.view.member(o.key.Service)}
+		a.runOffer(a.offers.Handle(now, peer, service, p))
+	case a.view.services[o.key.Service] == nil:
+		a.drop(o.key.Service, schema.ErrorKind_WRONG_SERVICE)
+		a.sendCaller(o.key, refusal(p, schema.ErrorKind_WRONG_SERVICE, a.options.Settings.GetTarget()))
+	default:
+		a.openOrPass(now, o)
 	}
-	peer := offer.Peer{Caller: key.Caller, Age: age}
-	service := offer.Service{ID: key.Service, Member: a.view.member(key.Service)}
-	a.runOffer(a.offers.Handle(now, peer, service, p))
 }
 
 func refusal(p *schema.CallerPacket, kind schema.ErrorKind, target uint32) *schema.CallerPacket {
--- a/internal/offer/machine.go
+++ b/internal/offer/machine.go
@@ -70,6 +70,11 @@
 	}
 }
 
+// Opened reports whether a request was opened here and is remembered.
+func (m *Machine) Opened(key Key, requestID uint64) bool {
+	return m.opened[openKey{key, requestID}] != nil
+}
+
 func (m *Machine) emit(a Action) {
 	m.out = append(m.out, a)
 }
--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -39,6 +39,7 @@
 	backends  []*backendtest.Server
 	agents    []*agent.Agent
 	balancers []*balancer.Balancer
+	metrics   []*telemetry.Metrics
 	config    *schema.Config
 	rng       *rand.Rand
 }
@@ -111,6 +112,7 @@
 	go a.Run(f.ctx)
 	f.backends = append(f.backends, server)
 	f.agents = append(f.agents, a)
+	f.metrics = append(f.metrics, metrics)
 	f.config.Targets = append(f.config.Targets, &schema.Target{
 		Id: id, Host: host, Zone: "z1", Member: "museum",
 		AgentAddress: a.Tunnel().Local().String(),
@@ -265,3 +267,41 @@
 	f.publish()
 	check("c")
 }
+
+// Guards against openings that wait at a busy target while another candidate is
+// idle, because agents do not pass them on.
+func TestBusyTargetPassesOpeningsOn(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	for _, target := range f.config.Targets {
+		target.Slots = 1
+	}
+	f.config.Revision++
+	f.publish()
+	client, err := caller.Dial(caller.Settings{
+		Service:   netip.MustParseAddrPort("192.0.2.1:7002"),
+		Balancers: f.addresses(requestService),
+		Local:     netip.MustParseAddrPort("127.0.0.1:0"),
+		Seed:      2,
+	})
+	f.c.Assert(err, qt.IsNil)
+	defer client.Close()
+	results := make(chan error, 60)
+	for i := range 60 {
+		go func() {
+			_, err := client.Do(f.ctx, caller.Request{
+				Class:    "payment",
+				Body:     []byte(fmt.Sprintf("burst %d", i)),
+				Deadline: waitLimit,
+			})
+			results <- err
+		}()
+	}
+	for range 60 {
+		f.c.Check(<-results, qt.IsNil)
+	}
+	passed := int64(0)
+	for _, m := range f.metrics {
+		passed += m.OpeningsPassed.Value()
+	}
+	f.c.Check(passed > 0, qt.IsTrue)
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -72,6 +72,8 @@
 	// RequestsRun and RequestsCut count events.
 	Requests                         Gauge
 	Offers, RequestsRun, RequestsCut Counter
+	// OpeningsPassed counts openings that were passed on to the next candidate.
+	OpeningsPassed Counter
 	// Connections is the number of relayed TCP connections;
 	// ConnectionsOpened and ConnectionsCut count events.
 	Connections                       Gauge
@@ -108,6 +110,7 @@
 	m.gauge("buffered_packets", &m.BufferedPackets)
 	m.gauge("requests", &m.Requests)
 	m.counter("offers", &m.Offers)
+	m.counter("openings_passed", &m.OpeningsPassed)
 	m.counter("requests_run", &m.RequestsRun)
 	m.counter("requests_cut", &m.RequestsCut)
 	m.gauge("connections", &m.Connections)
