Relay TCP services over balancer and agent

Cause: services of mode TCP were configured but served by nobody. Change: balancers accept connections, agents accept the relay on the TCP port of their frame address; drains wait for open connections and count those cut. Before: no listener for mode TCP.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/peridotstall/peridotstall/internal/flow"
 	"github.com/peridotstall/peridotstall/internal/offer"
 	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/relay"
 	"github.com/peridotstall/peridotstall/internal/rpcapi"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
@@ -85,6 +87,9 @@
 	requests  map[uint64]context.CancelFunc
 	returns   *returns
 	refusals  refusals
+	// relay and streams are nil without a backend server for TCP.
+	relay   *relay.Agent
+	streams net.Listener
 	// predecessor is what the agent takes over; nil without one.
 	predecessor *rpcapi.Takeover
 }
@@ -97,7 +102,7 @@
 	}
 	always := func(string) bool { return true }
 	never := func(string) bool { return false }
-	return &Agent{
+	a := &Agent{
 		options:  o,
 		tunnel:   socket,
 		client:   newBackendClient(),
@@ -107,7 +112,12 @@
 		sessions: map[uint64]*backend{},
 		requests: map[uint64]context.CancelFunc{},
 		returns:  newReturns(),
-	}, nil
+	}
+	if err := a.listenStreams(); err != nil {
+		socket.Close()
+		return nil, err
+	}
+	return a, nil
 }
 
 // Tunnel returns the frame socket, which the control loop shares.
@@ -170,6 +180,9 @@
 // Run serves until the context ends or the frame socket fails.
 func (a *Agent) Run(ctx context.Context) error {
 	go a.tick(ctx)
+	if a.streams != nil {
+		go a.serveStreams()
+	}
 	stop := context.AfterFunc(ctx, a.Close)
 	defer stop()
 	return a.tunnel.Serve(a.handleFrame)
@@ -195,6 +208,9 @@
 	for _, cancel := range a.requests {
 		cancel()
 	}
+	if a.streams != nil {
+		a.streams.Close()
+	}
 	a.tunnel.Close()
 }
 
--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -43,10 +43,25 @@
 	return a.draining
 }
 
-// Drain waits until all flows and requests have ended or the context ends, and
-// returns what is left.
+// Drain waits until all flows, requests and relayed connections have ended or
+// the context ends, and returns what is left.
 func (a *Agent) Drain(ctx context.Context) Cut {
 	a.SetDraining(true)
+	streams := make(chan int, 1)
+	go func() { streams <- a.drainStreams(ctx) }()
+	left := a.drainFlows(ctx)
+	left.Flows += <-streams
+	return left
+}
+
+func (a *Agent) drainStreams(ctx context.Context) int {
+	if a.relay == nil {
+		return 0
+	}
+	return a.relay.Drain(ctx)
+}
+
+func (a *Agent) drainFlows(ctx context.Context) Cut {
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/config"
+	"github.com/peridotstall/peridotstall/internal/relay"
 	"github.com/peridotstall/peridotstall/internal/route"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
@@ -53,6 +55,8 @@
 	mu        sync.Mutex
 	usable    func(host string) bool
 	listeners map[uint32]*listener
+	relay     *relay.Balancer
+	streams   map[uint32]*streamListener
 	lastCall  atomic.Int64
 }
 
@@ -62,12 +66,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Balancer{
+	b := &Balancer{
 		options:   o,
 		tunnel:    socket,
 		usable:    func(string) bool { return true },
 		listeners: map[uint32]*listener{},
-	}, nil
+		streams:   map[uint32]*streamListener{},
+	}
+	b.relay = relay.NewBalancer(relay.BalancerSettings{
+		Choose:         b.chooseStream,
+		MaxConnections: maxConnections,
+		Logger:         o.Logger,
+		Metrics:        o.Metrics,
+		Tracer:         o.Tracer,
+	})
+	return b, nil
 }
 
 // Tunnel returns the frame socket, which the control loop shares.
@@ -108,8 +121,20 @@
 }
 
 // Drain keeps forwarding until no packet came for quietTime, but at least until
-// the fabric had the grace time to move on and at most twice as long.
-func (b *Balancer) Drain(ctx context.Context) {
+// the fabric had the grace time to move on and at most twice as long. Relayed
+// connections have the same time; those that are open afterwards are cut and
+// counted.
+func (b *Balancer) Drain(ctx context.Context) (cut int) {
+	grace := time.Duration(b.options.Settings.GetStopGraceMs()) * time.Millisecond
+	streams, cancel := context.WithTimeout(ctx, 2*grace)
+	defer cancel()
+	done := make(chan int, 1)
+	go func() { done <- b.relay.Drain(streams) }()
+	b.drainPackets(ctx)
+	return <-done
+}
+
+func (b *Balancer) drainPackets(ctx context.Context) {
 	grace := time.Duration(b.options.Settings.GetStopGraceMs()) * time.Millisecond
 	begin := time.Now()
 	ticker := time.NewTicker(stopPoll)
@@ -136,6 +161,10 @@
 		l.conn.Close()
 		delete(b.listeners, id)
 	}
+	for id, l := range b.streams {
+		l.listener.Close()
+		delete(b.streams, id)
+	}
 	b.tunnel.Close()
 }
 
@@ -167,11 +196,20 @@
 			delete(b.listeners, id)
 		}
 	}
+	for id, l := range b.streams {
+		service, ok := s.Service(id)
+		if !ok || service.GetAddress() != l.address {
+			l.listener.Close()
+			delete(b.streams, id)
+		}
+	}
 	for _, service := range s.Services() {
-		if service.GetMode() == schema.Mode_TCP || b.listeners[service.GetId()] != nil {
-			continue
+		switch {
+		case service.GetMode() == schema.Mode_TCP && b.streams[service.GetId()] == nil:
+			b.openStream(service)
+		case service.GetMode() != schema.Mode_TCP && b.listeners[service.GetId()] == nil:
+			b.openListener(service)
 		}
-		b.openListener(service)
 	}
 }
 
@@ -216,10 +254,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.listeners[service]
-	if l == nil {
-		return netip.AddrPort{}, false
+	if l != nil {
+		return l.conn.Local(), true
+	}
+	if stream := b.streams[service]; stream != nil {
+		return stream.listener.Addr().(*net.TCPAddr).AddrPort(), true
 	}
-	return l.conn.Local(), true
+	return netip.AddrPort{}, false
 }
 
 // handleFrame takes a frame from an agent or another process.
--- /dev/null
+++ b/internal/balancer/stream.go
@@ -0,0 +1,56 @@
+package balancer
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/peridotstall/peridotstall/internal/errkind"
+	"github.com/peridotstall/peridotstall/internal/placement"
+	"github.com/peridotstall/peridotstall/internal/relay"
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/telemetry"
+)
+
+// maxConnections bounds the relayed connections of a balancer. Each takes two
+// file descriptors and two goroutines.
+const maxConnections = 16384
+
+// streamListener accepts the connections of a service of mode TCP.
+type streamListener struct {
+	listener net.Listener
+	address  string
+}
+
+// openStream begins to accept connections of a service.
+func (b *Balancer) openStream(service *schema.Service) {
+	bind := b.bindAddress(service.GetAddress())
+	if bind == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", bind)
+	if err != nil {
+		b.options.Logger.Log(telemetry.ListenerFailed, "service", service.GetId(), "error", err)
+		return
+	}
+	b.streams[service.GetId()] = &streamListener{listener: listener, address: service.GetAddress()}
+	go func() {
+		if err := b.relay.Serve(listener, service.GetId()); err != nil {
+			b.options.Logger.Log(telemetry.ListenerFailed, "service", service.GetId(), "error", err)
+		}
+	}()
+}
+
+// chooseStream returns the first usable candidate for a connection. The agent
+// accepts connections on the TCP port with the number of its frame socket.
+func (b *Balancer) chooseStream(service uint32, caller netip.AddrPort, tried []uint32) (relay.Target, *errkind.Error) {
+	routes := b.routes.Load()
+	a, ok := routes.Stream(placement.Key{Service: service, Caller: caller}, tried)
+	if !ok {
+		return relay.Target{}, errkind.New(schema.ErrorKind_REFUSED_NO_TARGET, "%d targets tried", len(tried))
+	}
+	return relay.Target{
+		ID:       a.Target,
+		Address:  a.Address.String(),
+		Revision: routes.Snapshot().Revision(),
+	}, nil
+}
--- a/internal/daemon/balancer.go
+++ b/internal/daemon/balancer.go
@@ -67,15 +67,15 @@
 }
 
 // Stop announces that the balancer leaves, forwards until the fabric has moved
-// on or the context ends, and closes it. A balancer holds no flows, so that
-// nothing is cut.
+// on or the context ends, and closes it. A balancer holds no flows, so that only
+// relayed connections can be cut; it returns their number.
 func (b *Balancer) Stop(ctx context.Context, reason string) (cut int) {
 	b.drain(reason)
-	b.balancer.Drain(ctx)
+	cut = b.balancer.Drain(ctx)
 	b.cancel()
 	b.balancer.Close()
-	b.finish(0, 0)
-	return 0
+	b.finish(cut, 0)
+	return cut
 }
 
 // Kill closes the balancer at once, as the end of its process would.
--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -42,6 +42,8 @@
 	metrics   []*telemetry.Metrics
 	config    *schema.Config
 	rng       *rand.Rand
+	// backendTCP is the backend server for services of mode TCP.
+	backendTCP string
 }
 
 func newFleet(t *testing.T, targets, balancers int) *fleet {
@@ -102,6 +104,7 @@
 			Target:     id,
 			BackendUdp: server.UDP(),
 			BackendUrl: server.URL(),
+			BackendTcp: f.backendTCP,
 		},
 		Logger:      telemetry.Discard(),
 		Metrics:     metrics,
--- /dev/null
+++ b/internal/pathtest/stream_test.go
@@ -0,0 +1,81 @@
+package pathtest
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// echoTCP is a backend server that echoes until the caller closes its half.
+func echoTCP(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a TCP service that is configured but served by nobody, and a
+// relay that loses the end of a half-closed connection. A draining target must
+// take no new connection and keep the open one.
+func TestConnectionIsRelayed(t *testing.T) {
+	f := newFleet(t, 0, 0)
+	f.backendTCP = echoTCP(f.c)
+	f.addService(3, "terminal", schema.Mode_TCP)
+	f.addTarget(1)
+	f.addTarget(2)
+	f.config.Revision++
+	f.publish()
+	f.addBalancer()
+	address := f.addresses(3)[0].String()
+	open := func() *net.TCPConn {
+		conn, err := net.Dial("tcp", address)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Cleanup(func() { conn.Close() })
+		f.c.Assert(conn.SetDeadline(time.Now().Add(waitLimit)), qt.IsNil)
+		return conn.(*net.TCPConn)
+	}
+	first := open()
+	_, err := first.Write([]byte("one "))
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(readText(f.c, first, 4), qt.Equals, "one ")
+
+	// Both targets drain: the open connection stays, a new one is refused.
+	f.agents[0].SetDraining(true)
+	f.agents[1].SetDraining(true)
+	second := open()
+	_, err = io.ReadAll(second)
+	f.c.Check(second, qt.IsNotNil)
+	f.c.Check(f.metrics[0].Errors(schema.ErrorKind_REFUSED_DRAINING)+
+		f.metrics[1].Errors(schema.ErrorKind_REFUSED_DRAINING) >= 2, qt.IsTrue, qt.Commentf("%v", err))
+
+	_, err = first.Write([]byte("two"))
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(first.CloseWrite(), qt.IsNil)
+	rest, err := io.ReadAll(first)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Check(string(rest), qt.Equals, "two")
+}
+
+func readText(c *qt.C, conn net.Conn, n int) string {
+	buf := make([]byte, n)
+	_, err := io.ReadFull(conn, buf)
+	c.Assert(err, qt.IsNil)
+	return string(buf)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -136,6 +136,12 @@
 	return Agent{}, schema.ErrorKind_REFUSED_NO_TARGET
 }
 
+// Stream returns the first usable candidate for a connection that is not among
+// those tried.
+func (t *Table) Stream(key placement.Key, tried []uint32) (Agent, bool) {
+	return t.opening(key.Service, t.Hash(key), &schema.Open{Tried: tried})
+}
+
 // firstUsable returns the first usable candidate, or the first one when none
 // looks usable, since the view may be wrong.
 func (t *Table) firstUsable(service uint32, hash uint64) (Agent, bool) {
