Level a member with no queued request, whatever it runs

Cause: a member that always had a request running and none queued kept a low virtual time, and could later keep the other member out until it had caught up.

Change: a member starts level whenever its queue was empty. TestNoSavedService checks it.

Conclusion: service cannot be saved up.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,6 +151,7 @@
 func TestFloorsHold(t *testing.T) {
 	const length = 5 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
+		algorithm := map[bool]Algorithm{false: WeightedFair, true: FIFO}[bounded(FIFO)]
 		slots := rapid.IntRange(1, 4).Draw(t, "slots")
 		busy := rapid.IntRange(0, 3).Draw(t, "busy class")
 		var sources []source
@@ -162,7 +164,7 @@
 			src.service = time.Duration(rapid.IntRange(5, 300).Draw(t, "service ms")) * time.Millisecond
 			sources = append(sources, src)
 		}
-		s := newSimulation(rapid.Uint64().Draw(t, "seed"), settings(slots, checked()), []float64{1}, sources...).run(length)
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), settings(slots, algorithm), []float64{1}, sources...).run(length)
 		largest := time.Duration(0)
 		for _, st := range s.servers[0].Stats() {
 			largest = max(largest, st.Service.Max)
@@ -175,10 +177,41 @@
 	})
 }
 
-// checked is the algorithm that the property of the floors is checked against.
-func checked() Algorithm {
-	if bounded(FIFO) {
-		return FIFO
+// Guards against a member that saves up service while it always has a request
+// running and none queued, and then keeps the other out for seconds.
+func TestNoSavedService(t *testing.T) {
+	set := settings(4, WeightedFair)
+	set.Warm, set.Members = true, map[string]uint32{"house": 1, "shop": 3}
+	a, now := New(set, rand.New(rand.NewPCG(1, 2))), epoch
+	var running []Ticket // in order of start
+	add := func(member string) {
+		ticket, _ := a.Reserve(now, Request{Member: member, Class: "bid"})
+		a.Enqueue(now, ticket)
+		for ticket, ok := a.Next(now); ok; ticket, ok = a.Next(now) {
+			running = append(running, ticket)
+		}
+	}
+	end := func(i int) {
+		now = now.Add(5 * time.Millisecond)
+		a.Done(now, running[i], Result{ServiceTime: 20 * time.Millisecond})
+		running = slices.Delete(running, i, i+1)
+	}
+	add("shop")
+	for range 500 {
+		add("shop")
+		end(0)
+		add("house")
+		end(1)
+	}
+	before := a.queue("house", "bid").wait.h.TotalCount()
+	for range 60 {
+		add("shop")
+		add("house")
+		if len(running) == 4 {
+			end(0)
+		}
 	}
-	return WeightedFair
+	// A quarter of the 60 starts is the share of the house.
+	got := a.queue("house", "bid").wait.h.TotalCount() - before
+	qt.Assert(t, got >= 10, qt.IsTrue, qt.Commentf("%d starts", got))
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -155,10 +155,10 @@
 	return len(q.items) + q.reserved
 }
 
-// push appends a request. A member that had no work starts level with the one
-// served last: it neither saves up service nor pays for service it got alone.
+// push appends a request. A member that had nothing queued starts at least level
+// with the one served last, so that it does not save up service.
 func (q *queue) push(e *entry) {
-	if len(q.items) == 0 && q.running == 0 {
+	if len(q.items) == 0 {
 		q.virtual = max(q.virtual, q.class.virtual)
 	}
 	q.items = append(q.items, e)
