Leave unlisted members out of the division of the connections

Cause: the share of the connections was divided by the weights of all queues, including the one for unlisted members, so that a listed member with a quarter of the weight was refused at a fifth.

Change: the sum holds the listed members only. TestDrainingAndFlows checks it.

Conclusion: each listed member reaches its share.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -124,14 +124,14 @@
 func TestDrainingAndFlows(t *testing.T) {
 	c := qt.New(t)
 	a := New(settings(3, WeightedFair), rand.New(rand.NewPCG(1, 2)))
-	open := 0
-	for range 30 {
-		if a.OpenFlow(epoch, "house", "feed") == nil {
-			open++
+	open := func(member string) (flows int) {
+		for a.OpenFlow(epoch, member, "feed") == nil {
+			flows++
 		}
+		return flows
 	}
-	c.Assert(open, qt.Equals, 15)
-	c.Assert(a.OpenFlow(epoch, "shop", "feed") == nil, qt.IsTrue)
+	c.Assert(open("house"), qt.Equals, 15)
+	c.Assert(open("shop"), qt.Equals, 5)
 	ticket, refusal := a.Reserve(epoch, Request{Member: "shop", Class: "bid"})
 	c.Assert(refusal == nil, qt.IsTrue)
 	a.SetDraining(true)
@@ -142,7 +142,7 @@
 	next, ok := a.Next(epoch)
 	c.Assert(ok && next == ticket, qt.IsTrue)
 	a.CloseFlow("house", "feed")
-	c.Assert(a.flows, qt.Equals, 15)
+	c.Assert(a.flows, qt.Equals, 19)
 }
 
 // Guards against a class that gets less than its floor while it always has
--- a/internal/admission/flows.go
+++ b/internal/admission/flows.go
@@ -39,7 +39,7 @@
 		return 0, 0, false
 	}
 	total := 0.0
-	for _, name := range c.members {
+	for name := range c.settings.Members { // DefaultMember takes no share from the listed ones
 		total += c.weights[name]
 	}
 	for _, cl := range c.classes {
