--- a/internal/flow/directory.go
+++ b/internal/flow/directory.go
@@ -39,9 +39,9 @@
 	}
 }
 
-func (d *directory) lookup(now time.Time, hash uint64) (uint32, bool) {
+func (d *directory) lookup(hash uint64) (uint32, bool) {
 	for _, entries := range []map[uint64]location{d.registered, d.promised} {
-		if l, ok := entries[hash]; ok && now.Before(l.expires) {
+		if l, ok := entries[hash]; ok {
 			return l.target, true
 		}
 	}
@@ -84,15 +84,20 @@
 	delete(d.promised, hash)
 }
 
-// expire removes old entries, once a second since it walks over all of them.
-func (d *directory) expire(now time.Time) {
+// expire removes old entries, once a second since it walks over all of them. An
+// entry of a target that is out of contact stays longer: the target cannot
+// refresh it but may still own the flow (model change, EXPIRE_UNSEEN).
+func (d *directory) expire(now time.Time, dead func(target uint32) bool) {
 	if now.Before(d.nextExpiry) {
 		return
 	}
 	d.nextExpiry = now.Add(time.Second)
 	for _, entries := range []map[uint64]location{d.registered, d.promised} {
 		for hash, l := range entries {
-			if !now.Before(l.expires) {
+			if now.Before(l.expires) {
+				continue
+			}
+			if !dead(l.target) || !now.Before(l.expires.Add(d.limits.HoldDead)) {
 				delete(entries, hash)
 			}
 		}
@@ -128,11 +133,11 @@
 
 // resolveConflict decides between two owners of one flow, which a partition can
 // create for flows that may be opened on a timeout. The owner that the caller
-// used last keeps the flow; when that is equal, the earlier candidate does.
+// used last keeps the flow; when that is equal, the lower target ID does.
 func (c *Core) resolveConflict(now time.Time, f *owned, r *schema.Register) {
 	c.stats.Conflicts++
 	idle := idleMillis(now, f)
-	yield := idle > r.IdleMs || idle == r.IdleMs && c.precedes(f.key.Service, f.hash, r.Owner, c.self)
+	yield := idle > r.IdleMs || idle == r.IdleMs && r.Owner < c.self
 	if r.IdleMs != 0 && yield {
 		c.closeFlow(f, CloseConflict)
 		c.directory.register(now, f.hash, r.Owner)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -80,6 +80,9 @@
 	// registrations.
 	EntryTTL time.Duration
 	Refresh  time.Duration
+	// HoldDead is the time for which entries of a target that is out of contact
+	// stay after their lifetime.
+	HoldDead time.Duration
 	// MaxAge is the age above which a packet opens nothing.
 	MaxAge time.Duration
 	// PauseThreshold is the gap between ticks that counts as a pause.
@@ -100,6 +103,7 @@
 		DirectoryEntries: 65536,
 		Promises:         16384,
 		EntryTTL:         30 * time.Second,
+		HoldDead:         10 * time.Minute,
 		Refresh:          5 * time.Second,
 		MaxAge:           2 * time.Second,
 		PauseThreshold:   2 * time.Second,
@@ -311,7 +315,10 @@
 	c.lastTick = now
 	c.tickPending(now)
 	c.closeIdle(now)
-	c.directory.expire(now)
+	if c.view.Table != nil {
+		c.directory.expire(now, c.view.Dead)
+		c.extendWindows(now)
+	}
 	if now.Sub(c.lastRefresh) >= c.limits.Refresh {
 		c.registerAll(now)
 	}
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -43,7 +43,7 @@
 		c.hold(waiting, p)
 		return
 	}
-	target, known := c.directory.lookup(now, hash)
+	target, known := c.directory.lookup(hash)
 	known = known && !slices.Contains(p.Passed, target)
 	if known && !c.view.Dead(target) {
 		c.forward(p, target)
@@ -95,25 +95,22 @@
 }
 
 // earlierOwners returns the targets that may own the flow already. A settled
-// first candidate need not ask anybody. A later candidate asks those before it.
-// An unsettled agent asks all candidates, also those of earlier revisions.
+// first candidate need not ask anybody. A later candidate asks those before it,
+// except the ones that passed the flow on. An unsettled agent asks all candidates,
+// also those of earlier revisions and those that passed the flow on: their
+// promise may be from before its own restart (model handover, TRUST_PASSED).
 func (c *Core) earlierOwners(now time.Time, hash uint64, p Packet, order []uint32, position int) []uint32 {
-	var ask []uint32
-	add := func(id uint32) {
-		if id != c.self && !slices.Contains(p.Passed, id) && !slices.Contains(ask, id) {
-			ask = append(ask, id)
+	ask := []uint32{}
+	if c.settle.unsettled(now, p.Key.Service) {
+		ask = c.recentCandidates(now, p.Key.Service, hash)
+	} else {
+		for _, id := range order[:position] {
+			if !slices.Contains(p.Passed, id) {
+				ask = append(ask, id)
+			}
 		}
 	}
-	for _, id := range order[:position] {
-		add(id)
-	}
-	if !c.settle.unsettled(now, p.Key.Service) {
-		return ask
-	}
-	for _, id := range c.recentCandidates(now, p.Key.Service, hash) {
-		add(id)
-	}
-	return ask
+	return slices.DeleteFunc(ask, func(id uint32) bool { return id == c.self })
 }
 
 func (c *Core) openOrAsk(now time.Time, hash uint64, p Packet, ask []uint32) {
@@ -182,14 +179,15 @@
 		c.emit(SendReply{Target: a.Asker, Reply: reply})
 		return c.out
 	}
-	if owner, ok := c.directory.lookup(now, a.FlowHash); ok && owner != a.Asker {
+	if owner, ok := c.directory.lookup(a.FlowHash); ok && owner != a.Asker {
 		reply.Owner = owner
 		c.emit(SendReply{Target: a.Asker, Reply: reply})
 		return c.out
 	}
 	if waiting := c.pending[a.FlowHash]; waiting != nil {
-		if c.precedes(a.Service, a.FlowHash, c.self, a.Asker) {
-			// Both are about to open the flow; the earlier candidate does.
+		if c.self < a.Asker {
+			// Both are about to open the flow. The lower target ID does, which
+			// is the same in all views; the order of candidates is not.
 			reply.Owner = c.self
 			c.emit(SendReply{Target: a.Asker, Reply: reply})
 			return c.out
@@ -238,8 +236,7 @@
 // know the later candidates.
 func (c *Core) askAlso(now time.Time, waiting *pending, also []uint32) {
 	known := func(id uint32) bool {
-		return id == c.self || slices.ContainsFunc(waiting.asked, func(q *query) bool { return q.target == id }) ||
-			slices.Contains(waiting.packets[0].Passed, id)
+		return id == c.self || slices.ContainsFunc(waiting.asked, func(q *query) bool { return q.target == id })
 	}
 	fresh := slices.DeleteFunc(slices.Clone(also), known)
 	for _, id := range c.worthAsking(waiting.key.Service, fresh) {
--- a/internal/flow/view.go
+++ b/internal/flow/view.go
@@ -32,8 +32,13 @@
 	s.services[id] = until
 }
 
+// pending reports whether a window of a service has not ended.
+func (s *settle) pending(now time.Time, id uint32) bool {
+	return now.Before(s.until) || now.Before(s.services[id])
+}
+
 func (s *settle) unsettled(now time.Time, service uint32) bool {
-	return s.unconfirmed || now.Before(s.until) || now.Before(s.services[service])
+	return s.unconfirmed || s.pending(now, service)
 }
 
 // SetView takes in a new view of the fleet. Services whose candidates changed
@@ -89,6 +94,25 @@
 	}
 }
 
+// extendWindows keeps the window of a service open while one of its targets is
+// out of contact, since that target may own flows it could not register here
+// (models handover and change, TIMED_WINDOW). Services that open on a timeout
+// prefer to go on. A target that is lost after the window has ended changes
+// nothing: it registered before, and opens nothing without an answer from here.
+func (c *Core) extendWindows(now time.Time) {
+	for id, service := range c.view.Services {
+		if service.TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT || !c.settle.pending(now, id) {
+			continue
+		}
+		for _, target := range c.view.Table.Targets(id) {
+			if target.ID != c.self && c.view.Dead(target.ID) {
+				c.settle.service(id, now.Add(c.limits.Window))
+				break
+			}
+		}
+	}
+}
+
 // recentCandidates returns the candidates of a flow by the present and the
 // recent views.
 func (c *Core) recentCandidates(now time.Time, service uint32, hash uint64) []uint32 {
@@ -164,17 +188,6 @@
 	return c.view.Table.Candidates(service, hash, buf[:0])
 }
 
-// precedes reports whether a is an earlier candidate than b. A target that is
-// no candidate comes last; between two of those the lower ID is first.
-func (c *Core) precedes(service uint32, hash uint64, a, b uint32) bool {
-	order := c.candidates(service, hash)
-	i, j := slices.Index(order, a), slices.Index(order, b)
-	if i < 0 && j < 0 {
-		return a < b
-	}
-	return i >= 0 && (j < 0 || i < j)
-}
-
 // Knowledge is what an agent knows about one flow.
 type Knowledge struct {
 	Hash       uint64
@@ -192,7 +205,7 @@
 // Explain returns what the agent knows about a flow.
 func (c *Core) Explain(now time.Time, key placement.Key) Knowledge {
 	hash := c.hash(key)
-	target, _ := c.directory.lookup(now, hash)
+	target, _ := c.directory.lookup(hash)
 	return Knowledge{
 		Hash:       hash,
 		Candidates: slices.Clone(c.candidates(key.Service, hash)),
--- a/internal/scenario/agent.go
+++ b/internal/scenario/agent.go
@@ -75,7 +75,7 @@
 		limits.MaxAge = time.Hour
 	}
 	if f.disabled["promise"] {
-		limits.EntryTTL = 0
+		limits.Promises = 0
 	}
 	return limits
 }
