--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	// storeWindow is the time for which earlier configurations are kept as the
 	// base of deltas for processes that are behind.
 	storeWindow = time.Minute
+	// maxHostEvents bounds the log lines for one change of the view.
+	maxHostEvents = 20
 	// traceFlush bounds the time for writing the last spans at a stop.
 	traceFlush = 2 * time.Second
 )
@@ -52,6 +55,7 @@
 	accepted   time.Time
 	doubted    bool
 	lastReason string
+	failed     []string
 }
 
 func newProcess(role schema.Role, s *schema.CommonSettings, logger *telemetry.Logger) (*process, error) {
@@ -98,7 +102,7 @@
 		Platform:    p.watch(client),
 		Send:        func(to netip.AddrPort, f *schema.Frame) { p.send(socket, to, f) },
 		OnConfig:    func(s *config.Snapshot) { p.onConfig(s, h.config) },
-		OnView:      h.view,
+		OnView:      func(v *membership.View) { p.onView(v, h.view) },
 		OnConfirmed: func(ok bool) { p.onConfirmed(ok, h.confirmed) },
 		OnRejected:  p.onRejected,
 		OnLinkDoubt: func(d membership.LinkDoubt) { p.onLinkDoubt(d, h.doubt) },
@@ -184,6 +188,30 @@
 	p.logger.Log(telemetry.ConfigAccepted, "revision", s.Revision())
 }
 
+// onView logs which hosts failed and came back, at most maxHostEvents of each,
+// since a whole availability zone can fail at once.
+func (p *process) onView(v *membership.View, apply func(*membership.View)) {
+	failed := v.Failed()
+	p.logHosts(telemetry.HostDead, failed, p.failed)
+	p.logHosts(telemetry.HostBack, p.failed, failed)
+	p.failed = failed
+	apply(v)
+}
+
+// logHosts logs the hosts of a list that are not in another one.
+func (p *process) logHosts(event telemetry.Event, list, without []string) {
+	count := 0
+	for _, host := range list {
+		if slices.Contains(without, host) {
+			continue
+		}
+		if count++; count > maxHostEvents {
+			return
+		}
+		p.logger.Log(event, "peer", host)
+	}
+}
+
 func (p *process) onConfirmed(confirmed bool, apply func()) {
 	if !confirmed {
 		p.logger.Log(telemetry.ClockJump)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -157,6 +157,22 @@
 	Cause  string
 }
 
+// OutOfOrder reports a flow that a later candidate opened.
+type OutOfOrder struct {
+	Key placement.Key
+	// Position is the place of this target in the order, from 0.
+	Position int
+}
+
+// AskTimeout reports that asked targets did not answer.
+type AskTimeout struct {
+	Key placement.Key
+	// Missing are the targets that did not answer.
+	Missing []uint32
+	// Opened says whether the flow was opened all the same.
+	Opened bool
+}
+
 // CloseReason says why a flow ended.
 type CloseReason int
 
@@ -177,6 +193,8 @@
 func (SendRegister) action() {}
 func (Close) action()        {}
 func (Drop) action()         {}
+func (OutOfOrder) action()   {}
+func (AskTimeout) action()   {}
 
 // owned is a flow of this agent.
 type owned struct {
@@ -358,6 +376,9 @@
 	for i, p := range packets {
 		c.emit(Deliver{Packet: p, Opened: i == 0})
 	}
+	if position := slices.Index(c.candidates(f.key.Service, hash), c.self); position != 0 {
+		c.emit(OutOfOrder{Key: f.key, Position: position})
+	}
 	c.registerOne(f)
 }
 
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -331,7 +331,9 @@
 
 func (c *Core) decideUnanswered(now time.Time, waiting *pending) {
 	c.stats.AskTimeouts++
-	if c.view.Services[waiting.key.Service].TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT {
+	open := c.view.Services[waiting.key.Service].TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT
+	c.emit(AskTimeout{Key: waiting.key, Missing: waiting.missing(), Opened: open})
+	if open {
 		c.finish(now, waiting)
 		return
 	}
@@ -340,3 +342,14 @@
 		c.drop(p, schema.ErrorKind_UNKNOWN_OUTCOME, "an earlier candidate did not answer")
 	}
 }
+
+// missing returns the targets that have not answered.
+func (w *pending) missing() []uint32 {
+	var list []uint32
+	for _, q := range w.asked {
+		if !q.answered {
+			list = append(list, q.target)
+		}
+	}
+	return list
+}
--- a/internal/membership/lookup.go
+++ b/internal/membership/lookup.go
@@ -32,3 +32,15 @@
 	}
 	return list
 }
+
+// Failed returns the names of the hosts that were found dead, in the order of the list.
+func (v *View) Failed() []string {
+	var list []string
+	for i := range v.hosts.Len() {
+		h := v.hosts.At(i)
+		if _, deviates := v.deviating[h.ID]; deviates && v.State(h.Name) == schema.HostState_DEAD {
+			list = append(list, h.Name)
+		}
+	}
+	return list
+}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -64,9 +64,9 @@
 // Events of the membership: 300 to 399.
 var (
 	HostDead = Event{Number: 300, Level: log.WarnLevel, Name: "host_dead",
-		Message: "host is considered failed", Fields: []string{"host", "incarnation", "probers"}}
+		Message: "host is considered failed", Fields: []string{"peer"}}
 	HostBack = Event{Number: 301, Level: log.InfoLevel, Name: "host_back",
-		Message: "host answers again", Fields: []string{"host", "incarnation"}}
+		Message: "host answers again", Fields: []string{"peer"}}
 	OwnLinkDoubted = Event{Number: 302, Level: log.WarnLevel, Name: "own_link_doubted",
 		Message: "too many peers appear failed at once; own link is suspected", Fields: []string{"failed", "probed"}}
 	OwnLinkTrusted = Event{Number: 303, Level: log.InfoLevel, Name: "own_link_trusted",
@@ -75,11 +75,11 @@
 
 // Events of the flows: 400 to 499.
 var (
-	FlowOpenedOutOfOrder = Event{Number: 400, Level: log.InfoLevel, Name: "flow_opened_out_of_order",
+	FlowOpenedOutOfOrder = Event{Number: 400, Level: log.DebugLevel, Name: "flow_opened_out_of_order",
 		Message: "flow opened by a target that is not its first candidate",
 		Fields:  []string{"service", "flow", "position"}}
 	HandoverTimeout = Event{Number: 401, Level: log.WarnLevel, Name: "handover_query_timeout",
-		Message: "a queried candidate did not answer", Fields: []string{"service", "flow", "missing", "action"}}
+		Message: "queried candidates did not answer", Fields: []string{"service", "kind", "count"}, Limited: true}
 )
 
 // BackendUnreachable reports that no socket towards the backend server could be opened.
