Say "not run" when the backend server accepts no connection

Cause: a request for which no connection could be opened was reported as of unknown outcome, although nothing was sent, and was not tried elsewhere. A failing target looks idle and takes new work. Change: kind REFUSED_BACKEND_DOWN, which allows another target; openings are passed on for 1 s after a failed connection; the slow start begins again afterwards. The test of the exported kinds names each constant: it checked a range of numbers, which a new kind at the end leaves. Before: TestRequestsGoElsewhereWhenBackendIsDown fails (BACKEND_FAILED). After: 60 of 60 requests answered. Command: go test -race -count=2 ./internal/pathtest

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -134,6 +134,18 @@
 	c.Assert(err, qt.ErrorAs, &failure)
 }
 
+// exported lists the constants of the package, since a range of numbers would
+// also hold a kind without a constant.
+var exported = map[caller.Kind]bool{
+	caller.RefusedOverload: true, caller.RefusedDeadline: true, caller.RefusedDraining: true,
+	caller.RefusedNoTarget: true, caller.RefusedBackendDown: true, caller.UnknownService: true,
+	caller.WrongService: true, caller.OfferExpired: true, caller.TooOld: true,
+	caller.CancelledNotRun: true, caller.UnknownOutcome: true, caller.UnknownFlow: true,
+	caller.DeadlineExceeded: true, caller.Cancelled: true, caller.FlowSilent: true,
+	caller.BackendFailed: true, caller.BackendShed: true, caller.Malformed: true,
+	caller.TooLarge: true, caller.Internal: true,
+}
+
 // Guards against a kind of the schema that callers cannot name.
 func TestEveryKindIsExported(t *testing.T) {
 	for number, name := range schema.ErrorKind_name {
@@ -142,6 +154,6 @@
 		}
 		kind := caller.Kind(number)
 		qt.Check(t, kind.String(), qt.Equals, name)
-		qt.Check(t, kind >= caller.RefusedOverload && kind <= caller.Internal, qt.IsTrue)
+		qt.Check(t, exported[kind], qt.IsTrue, qt.Commentf("%v", kind))
 	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,6 +30,9 @@
 	tickInterval = 50 * time.Millisecond
 	// pauseThreshold is the gap between two ticks that counts as a pause.
 	pauseThreshold = 2 * time.Second
+	// backendRetry is the time after a failed connection for which openings are
+	// passed on; then one of them shows whether the backend server is back.
+	backendRetry = time.Second
 	// quarantine keeps the port of a closed flow in use, so that a late packet
 	// of the backend server cannot reach a later flow.
 	quarantine = 5 * time.Second
@@ -87,6 +90,9 @@
 	requests  map[uint64]context.CancelFunc
 	returns   *returns
 	refusals  refusals
+	// backendDown is the time of the last connection that failed; zero while the
+	// backend server accepts connections.
+	backendDown time.Time
 	// relay and streams are nil without a backend server for TCP.
 	relay   *relay.Agent
 	streams net.Listener
--- a/internal/agent/overflow.go
+++ b/internal/agent/overflow.go
@@ -34,7 +34,8 @@
 	next, candidates := a.nextCandidate(o)
 	known := a.offers.Opened(offer.Key(o.key), o.packet.GetRequestId())
 	load := a.admission.Load(member, o.packet.GetOpen().GetClass())
-	if !known && admission.Overflow(load, o.hops, candidates, false) {
+	down := now.Sub(a.backendDown) < backendRetry
+	if !known && admission.Overflow(load, o.hops, candidates, down) {
 		a.pass(o, next)
 		return
 	}
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -108,6 +108,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.requests, r.Sequence)
+		a.noteBackend(time.Now(), response.Kind)
 		a.runOffer(a.offers.BackendDone(time.Now(), r.Sequence, response))
 	}()
 }
@@ -125,6 +126,9 @@
 	request.Header.Set(headerClass, r.Class)
 	request.Header.Set(headerDeadline, strconv.FormatInt(time.Until(r.Deadline).Milliseconds(), 10))
 	answer, err := a.client.Do(request)
+	if notSent(err) {
+		return failed(schema.ErrorKind_REFUSED_BACKEND_DOWN, err)
+	}
 	if err != nil {
 		return failed(failureKind(ctx), err)
 	}
@@ -139,6 +143,29 @@
 	return offer.Response{Status: uint32(answer.StatusCode), Body: data}
 }
 
+// notSent reports whether no connection to the backend server could be opened.
+// Nothing of the request was sent then: the client opens a connection only when
+// no other one took any of it, since it cannot read the body again.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// noteBackend follows whether the backend server accepts connections. When it is
+// back, the slow start begins again, because it restarted.
+func (a *Agent) noteBackend(now time.Time, kind schema.ErrorKind) {
+	switch {
+	case kind == schema.ErrorKind_REFUSED_BACKEND_DOWN:
+		if a.backendDown.IsZero() {
+			a.options.Logger.Log(telemetry.BackendUnreachable, "service", "requests", "error", kind)
+		}
+		a.backendDown = now
+	case kind == schema.ErrorKind_ERROR_KIND_NONE && !a.backendDown.IsZero():
+		a.backendDown = time.Time{}
+		a.admission.ColdStart()
+	}
+}
+
 func failureKind(ctx context.Context) schema.ErrorKind {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return schema.ErrorKind_DEADLINE_EXCEEDED
--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -308,3 +308,28 @@
 	}
 	f.c.Check(passed > 0, qt.IsTrue)
 }
+
+// Guards against requests that are lost, or reported as of unknown outcome,
+// because the backend server of one target is down: nothing was sent to it, so
+// that another target may run them.
+func TestRequestsGoElsewhereWhenBackendIsDown(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	f.backends[0].Close()
+	client, err := caller.Dial(caller.Settings{
+		Service:   netip.MustParseAddrPort("192.0.2.1:7002"),
+		Balancers: f.addresses(requestService),
+		Local:     netip.MustParseAddrPort("127.0.0.1:0"),
+		Seed:      3,
+	})
+	f.c.Assert(err, qt.IsNil)
+	defer client.Close()
+	for i := range 60 {
+		_, err := client.Do(f.ctx, caller.Request{
+			Class:    "payment",
+			Body:     []byte(fmt.Sprintf("down %d", i)),
+			Deadline: waitLimit,
+		})
+		f.c.Assert(err, qt.IsNil)
+	}
+	f.c.Check(len(f.backends[1].Runs())+len(f.backends[2].Runs()), qt.Equals, 60)
+}
