Add the commands platform and backend, and examples

Cause: trying the product on one machine needed a configuration service and backend servers that only tests could start. Change: commands platform (reads its files again when they change) and backend, both marked as stand-ins; examples of one member with two targets and two balancers. A script checks the examples.

--- a/internal/backendtest/backendtest.go
+++ b/internal/backendtest/backendtest.go
@@ -37,11 +37,17 @@
 // Start runs a backend server on loopback addresses that the system chooses. A
 // request takes the service time.
 func Start(name string, service time.Duration) (*Server, error) {
-	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	return Listen(name, service, free, free)
+}
+
+// Listen is Start with given addresses for datagrams and for requests.
+func Listen(name string, service time.Duration, udpAddress, httpAddress netip.AddrPort) (*Server, error) {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(udpAddress))
 	if err != nil {
 		return nil, errors.Wrap(err, "bind UDP")
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", httpAddress.String())
 	if err != nil {
 		udp.Close()
 		return nil, errors.Wrap(err, "bind TCP")
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -32,7 +33,9 @@
 		Deadline: time.Now().Add(scriptLimit),
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("BUSY", busy.LocalAddr().String())
-			return nil
+			examples, err := filepath.Abs("../../examples")
+			env.Setenv("EXAMPLES", examples)
+			return err
 		},
 	})
 }
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -79,9 +79,7 @@
 		},
 	}
 	command.Flags().StringVarP(&path, "settings", "s", "", "settings file (TOML)")
-	if err := command.MarkFlagRequired("settings"); err != nil {
-		panic(err)
-	}
+	markRequired(command, "settings")
 	return command
 }
 
--- a/internal/platform/platformtest/service.go
+++ b/internal/platform/platformtest/service.go
@@ -1,5 +1,5 @@
 // Package platformtest is an in-memory stand-in for the configuration service
-// and the host list, served over HTTP on a loopback port of the system's choice.
+// and the host list, served over HTTP, for tests and trials.
 package platformtest
 
 import (
@@ -54,9 +54,15 @@
 	changed chan struct{}
 }
 
-// New starts a service without configuration and with an empty host list.
+// New starts a service without configuration and with an empty host list, on a
+// loopback port that the system chooses.
 func New() (*Service, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return Listen("127.0.0.1:0")
+}
+
+// Listen is New with a given address.
+func Listen(address string) (*Service, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "configuration service stand-in")
 	}
