--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -67,28 +67,6 @@
 	return tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 }
 
-func newStatus() *cobra.Command {
-	var asJSON bool
-	command := &cobra.Command{
-		Use:     "status ADDRESS...",
-		Short:   "Show the state of processes",
-		Long:    "Shows the state of processes, by the addresses of their operator's interfaces (rpc_address).",
-		Example: "  peridotstall status 127.0.0.1:7400 127.0.0.1:7401 --json",
-		Args:    cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			answers := ask(c.Context(), args, func(ctx context.Context, p *rpcapi.Client) (rpcapi.Status, error) {
-				return p.Status(ctx)
-			})
-			if asJSON {
-				return writeJSON(c.OutOrStdout(), answers)
-			}
-			return writeStatus(c.OutOrStdout(), answers)
-		},
-	}
-	command.Flags().BoolVar(&asJSON, "json", false, "print JSON")
-	return command
-}
-
 func writeStatus(w io.Writer, answers []answer[rpcapi.Status]) error {
 	t := newTable(w)
 	fmt.Fprintln(t, "ADDRESS\tROLE\tHOST\tZONE\tSTATE\tREVISION\tAGE\tFLOWS\tREQUESTS\tQUEUED\tSLOTS\tDIRECTORY")
