--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -110,19 +110,16 @@
 		return nil, errors.Wrap(err, "take over from the running agent")
 	}
 	defer client.Close()
-	state, err := client.HandOver(ctx)
-	if err != nil {
-		return nil, errors.Wrap(err, "take over from the running agent")
-	}
-	if state.Target != settings.GetTarget() {
-		return nil, errors.Errorf("the running agent serves target %d, the settings name target %d",
-			state.Target, settings.GetTarget())
-	}
-	return state, nil
+	state, err := client.HandOver(ctx, settings.GetTarget())
+	return state, errors.Wrap(err, "take over from the running agent")
 }
 
-// HandOver gives the flows to a successor process and ends the agent.
-func (a *Agent) HandOver() (*rpcapi.Takeover, error) {
+// HandOver gives the flows to a successor process and ends the agent. It refuses
+// a successor with another target, which could not serve the flows.
+func (a *Agent) HandOver(target uint32) (*rpcapi.Takeover, error) {
+	if own := a.settings.GetTarget(); target != own {
+		return nil, errors.Errorf("this agent serves target %d, the successor target %d", own, target)
+	}
 	a.stopping.Store(true)
 	limit := time.Duration(a.settings.GetDrainLimitMs()) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -135,7 +132,7 @@
 		return nil, err
 	}
 	a.closeInterfaces()
-	a.drain("a successor took over")
+	a.drain("a successor took over", 0)
 	a.finish(0, 0)
 	return state, nil
 }
@@ -172,7 +169,7 @@
 	switch {
 	case leaving && !a.agent.Draining():
 		a.agent.SetDraining(true)
-		a.drain("the backend server is leaving")
+		a.drain("the backend server is leaving", 0)
 	case !leaving && a.agent.Draining():
 		a.agent.SetDraining(false)
 		if a.stage.State() == lifecycle.Draining && a.stage.Resume() == nil {
@@ -192,8 +189,8 @@
 func (a *Agent) Stop(ctx context.Context, reason string) (cut int) {
 	a.stopping.Store(true)
 	a.agent.SetDraining(true)
-	a.drain(reason)
 	limit := time.Duration(a.settings.GetDrainLimitMs()) * time.Millisecond
+	a.drain(reason, limit)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	left := a.agent.Drain(ctx)
--- a/internal/daemon/balancer.go
+++ b/internal/daemon/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,6 +18,7 @@
 // Balancer is a running balancer process.
 type Balancer struct {
 	*process
+	settings *schema.BalancerSettings
 	balancer *balancer.Balancer
 	cancel   context.CancelFunc
 	ended    chan error
@@ -39,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Balancer{process: p, balancer: inner, ended: make(chan error, 1)}
+	b := &Balancer{process: p, settings: settings, balancer: inner, ended: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	err = p.connect(inner.Tunnel(), 0, 0, hooks{
@@ -70,7 +72,8 @@
 // on or the context ends, and closes it. A balancer holds no flows, so that
 // nothing is cut.
 func (b *Balancer) Stop(ctx context.Context, reason string) (cut int) {
-	b.drain(reason)
+	// The balancer forwards for at most twice the grace time.
+	b.drain(reason, 2*time.Duration(b.settings.GetStopGraceMs())*time.Millisecond)
 	b.balancer.Drain(ctx)
 	b.cancel()
 	b.balancer.Close()
@@ -111,6 +114,6 @@
 }
 
 // HandOver implements rpcapi.Process. A balancer holds nothing to hand over.
-func (b *Balancer) HandOver() (*rpcapi.Takeover, error) {
+func (b *Balancer) HandOver(uint32) (*rpcapi.Takeover, error) {
 	return nil, errors.New("a balancer has no flows; start the new one and stop this one")
 }
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"encoding/hex"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -45,13 +47,17 @@
 	control  *control.Control
 	stage    *lifecycle.Machine
 	rpc      netip.AddrPort
-	// closeInterfaces frees the addresses of the interfaces for operators.
-	closeInterfaces context.CancelFunc
+	// interfaces are the listeners of the interfaces for operators.
+	interfaces []io.Closer
 
-	mu         sync.Mutex
-	accepted   time.Time
-	doubted    bool
+	mu       sync.Mutex
+	accepted time.Time
+	inForce  uint64 // revision that was accepted last
+	doubted  bool
+	failed   map[string]uint64 // failed hosts of the last view
+	// lastReason and lastLimit are those of the stop that began last.
 	lastReason string
+	lastLimit  time.Duration
 }
 
 func newProcess(role schema.Role, s *schema.CommonSettings, logger *telemetry.Logger) (*process, error) {
@@ -98,7 +104,7 @@
 		Platform:    p.watch(client),
 		Send:        func(to netip.AddrPort, f *schema.Frame) { p.send(socket, to, f) },
 		OnConfig:    func(s *config.Snapshot) { p.onConfig(s, h.config) },
-		OnView:      h.view,
+		OnView:      func(v *membership.View) { p.onView(v); h.view(v) },
 		OnConfirmed: func(ok bool) { p.onConfirmed(ok, h.confirmed) },
 		OnRejected:  p.onRejected,
 		OnLinkDoubt: func(d membership.LinkDoubt) { p.onLinkDoubt(d, h.doubt) },
@@ -130,18 +136,31 @@
 func (p *process) serve(ctx context.Context, api rpcapi.Process) error {
 	p.logger.Log(telemetry.ProcessStarted, "zone", p.settings.GetZone())
 	go p.control.Run(ctx)
-	ctx, p.closeInterfaces = context.WithCancel(ctx)
 	if address := p.settings.GetRpcAddress(); address != "" {
-		bound, err := rpcapi.Serve(ctx, address, api)
+		listener, err := rpcapi.Serve(address, api)
 		if err != nil {
 			return err
 		}
-		p.rpc = bound
+		p.rpc = listener.Addr().(*net.TCPAddr).AddrPort()
+		p.interfaces = append(p.interfaces, listener)
+	}
+	if err := p.serveMetrics(); err != nil {
+		p.closeInterfaces()
+		return err
+	}
+	context.AfterFunc(ctx, p.closeInterfaces)
+	return nil
+}
+
+// closeInterfaces frees the addresses of the interfaces for operators before it
+// returns, since a successor binds them as soon as it has the reply.
+func (p *process) closeInterfaces() {
+	for _, listener := range p.interfaces {
+		listener.Close()
 	}
-	return p.serveMetrics(ctx)
 }
 
-func (p *process) serveMetrics(ctx context.Context) error {
+func (p *process) serveMetrics() error {
 	address := p.settings.GetMetricsAddress()
 	if address == "" {
 		return nil
@@ -153,7 +172,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", telemetry.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	context.AfterFunc(ctx, func() { server.Close() })
+	// The listener is closed as well, because the server knows it only once
+	// Serve has begun.
+	p.interfaces = append(p.interfaces, listener, server)
 	go server.Serve(listener)
 	return nil
 }
@@ -165,7 +186,7 @@
 	case lifecycle.Draining:
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.logger.Log(telemetry.StopBegun, "reason", p.lastReason)
+		p.logger.Log(telemetry.StopBegun, "reason", p.lastReason, "limit", p.lastLimit)
 	}
 }
 
@@ -179,9 +200,30 @@
 func (p *process) onConfig(s *config.Snapshot, apply func(*config.Snapshot)) {
 	p.mu.Lock()
 	p.accepted = time.Now()
+	previous := p.inForce
+	p.inForce = s.Revision()
 	p.mu.Unlock()
 	apply(s)
-	p.logger.Log(telemetry.ConfigAccepted, "revision", s.Revision())
+	p.logger.Log(telemetry.ConfigAccepted, "revision", s.Revision(), "previous", previous)
+}
+
+// onView logs which hosts failed and which came back since the last view.
+func (p *process) onView(v *membership.View) {
+	failed := v.Failed()
+	p.mu.Lock()
+	before := p.failed
+	p.failed = failed
+	p.mu.Unlock()
+	for host, incarnation := range failed {
+		if _, ok := before[host]; !ok {
+			p.logger.Log(telemetry.HostDead, "failed_host", host, "incarnation", incarnation)
+		}
+	}
+	for host, incarnation := range before {
+		if _, ok := failed[host]; !ok && v.State(host) == schema.HostState_LIVE {
+			p.logger.Log(telemetry.HostBack, "failed_host", host, "incarnation", incarnation)
+		}
+	}
 }
 
 func (p *process) onConfirmed(confirmed bool, apply func()) {
@@ -218,13 +260,25 @@
 	if !ok {
 		event = telemetry.ConfigInvalid
 	}
-	p.logger.Log(event, "revision", r.Revision, "source", r.From, "error", r.Err)
+	pairs := []any{"revision", r.Revision, "source", r.From}
+	current := p.store.Current()
+	switch {
+	case event.Number == telemetry.ConfigInvalid.Number:
+		pairs = append(pairs, "faults", r.Err)
+	case event.Number == telemetry.ConfigLower.Number:
+		pairs = append(pairs, "current", p.revision())
+	case current != nil:
+		pairs = append(pairs, "current_digest", hex.EncodeToString(current.Digest()))
+	}
+	p.logger.Log(event, pairs...)
 }
 
-// drain begins a stop and says why.
-func (p *process) drain(reason string) {
+// drain begins a stop and says why, and after what time it ends at the latest; 0
+// means that the process stays.
+func (p *process) drain(reason string, limit time.Duration) {
 	p.mu.Lock()
 	p.lastReason = reason
+	p.lastLimit = limit
 	p.mu.Unlock()
 	if err := p.stage.Drain(); err != nil {
 		return
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -42,6 +42,22 @@
 	return max(listed, e.state)
 }
 
+// Failed returns the hosts that their probers found failed, with the incarnation
+// of the verdict. It does not walk the whole list, which is long.
+func (v *View) Failed() map[string]uint64 {
+	out := map[string]uint64{}
+	for id, e := range v.deviating {
+		at := v.hosts.ByID(id)
+		if at < 0 || e.state != schema.HostState_DEAD {
+			continue
+		}
+		if host := v.hosts.At(at).Name; v.State(host) == schema.HostState_DEAD {
+			out[host] = e.incarnation
+		}
+	}
+	return out
+}
+
 // Usable reports whether new flows may be placed on a host. Before a host list
 // is known every host is usable.
 func (v *View) Usable(host string) bool {
--- a/internal/rpcapi/rpcapi.go
+++ b/internal/rpcapi/rpcapi.go
@@ -137,8 +137,9 @@
 	Status() Status
 	Treatment() []Treatment
 	Explain(q FlowQuery) (Explanation, error)
-	// HandOver gives the flows of an agent to its successor.
-	HandOver() (*Takeover, error)
+	// HandOver gives the flows of an agent to its successor, which serves the
+	// target. An agent of another target refuses and goes on.
+	HandOver(target uint32) (*Takeover, error)
 }
 
 // Empty is the argument of calls without one.
@@ -167,8 +168,8 @@
 }
 
 // HandOver implements the RPC of that name.
-func (h handler) HandOver(_ Empty, reply *Takeover) error {
-	state, err := h.process.HandOver()
+func (h handler) HandOver(target uint32, reply *Takeover) error {
+	state, err := h.process.HandOver(target)
 	if err != nil {
 		return err
 	}
@@ -176,19 +177,19 @@
 	return nil
 }
 
-// Serve answers calls until the context ends. It returns the bound address.
-func Serve(ctx context.Context, address string, p Process) (netip.AddrPort, error) {
+// Serve answers calls until the returned listener is closed. Connections that
+// were accepted before are still answered.
+func Serve(address string, p Process) (net.Listener, error) {
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, handler{p}); err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "register operator interface")
+		return nil, errors.Wrap(err, "register operator interface")
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return netip.AddrPort{}, errors.Wrapf(err, "bind operator interface %s", address)
+		return nil, errors.Wrapf(err, "bind operator interface %s", address)
 	}
-	context.AfterFunc(ctx, func() { listener.Close() })
 	go accept(listener, server)
-	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+	return listener, nil
 }
 
 // accept serves connections until the listener is closed. The loop of net/rpc
@@ -244,10 +245,11 @@
 	return reply, err
 }
 
-// HandOver asks a running agent for its flows; the agent ends afterwards.
-func (c *Client) HandOver(ctx context.Context) (*Takeover, error) {
+// HandOver asks the running agent of a target for its flows; the agent ends
+// afterwards.
+func (c *Client) HandOver(ctx context.Context, target uint32) (*Takeover, error) {
 	reply := &Takeover{}
-	err := c.call(ctx, "HandOver", Empty{}, reply)
+	err := c.call(ctx, "HandOver", target, reply)
 	return reply, err
 }
 
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -43,12 +43,12 @@
 // Events of the configuration: 200 to 299.
 var (
 	ConfigAccepted = Event{Number: 200, Level: log.InfoLevel, Name: "config_accepted",
-		Message: "configuration accepted", Fields: []string{"revision", "previous", "source"}}
+		Message: "configuration accepted", Fields: []string{"revision", "previous"}}
 	ConfigLower = Event{Number: 201, Level: log.WarnLevel, Name: "config_rejected_lower",
 		Message: "configuration rejected: lower revision", Fields: []string{"revision", "current", "source"}}
 	ConfigConflict = Event{Number: 202, Level: log.ErrorLevel, Name: "config_rejected_conflict",
 		Message: "configuration rejected: same revision with another digest",
-		Fields:  []string{"revision", "digest", "current_digest", "source"}}
+		Fields:  []string{"revision", "current_digest", "source"}}
 	ConfigInvalid = Event{Number: 203, Level: log.ErrorLevel, Name: "config_rejected_invalid",
 		Message: "configuration rejected: invalid content", Fields: []string{"revision", "faults", "source"}}
 	ConfigServiceUnreachable = Event{Number: 204, Level: log.WarnLevel, Name: "config_service_unreachable",
@@ -64,9 +64,9 @@
 // Events of the membership: 300 to 399.
 var (
 	HostDead = Event{Number: 300, Level: log.WarnLevel, Name: "host_dead",
-		Message: "host is considered failed", Fields: []string{"host", "incarnation", "probers"}}
+		Message: "host is considered failed", Fields: []string{"failed_host", "incarnation"}}
 	HostBack = Event{Number: 301, Level: log.InfoLevel, Name: "host_back",
-		Message: "host answers again", Fields: []string{"host", "incarnation"}}
+		Message: "host answers again", Fields: []string{"failed_host", "incarnation"}}
 	OwnLinkDoubted = Event{Number: 302, Level: log.WarnLevel, Name: "own_link_doubted",
 		Message: "too many peers appear failed at once; own link is suspected", Fields: []string{"failed", "probed"}}
 	OwnLinkTrusted = Event{Number: 303, Level: log.InfoLevel, Name: "own_link_trusted",
