Test that a killed agent gets no flows and returns

Cause: detection of failed hosts ran between real processes in no test, and was not in the log. Change: a test kills an agent process and waits for host_dead and host_back. Conclusion: go test -run KilledAgent ./internal/cli passes; new flows go to the other target, and to the returned one after its return.

--- a/internal/cli/daemons_test.go
+++ b/internal/cli/daemons_test.go
@@ -97,3 +97,18 @@
 	agent.line("name=config_service_reachable")
 	x.request("127.0.0.1:7011")
 }
+
+// Guards against a process that was killed and gets new work, and one that is not
+// used again after its return.
+func TestKilledAgentAndReturn(t *testing.T) {
+	x := newTrial(t)
+	agents, balancers := x.startAll()
+	x.Assert(agents[1].command.Process.Kill(), qt.IsNil)
+	balancers[0].line("name=host_dead failed_host=storefront2")
+	for range 10 {
+		x.Check(x.openPlain().backend("127.0.0.1:7010"), qt.Matches, "shop1 .*")
+	}
+	x.start("agent", "--settings", "agent2.toml")
+	balancers[0].line("name=host_back failed_host=storefront2")
+	x.openAt("shop2", "127.0.0.1:7010")
+}
