--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -96,6 +96,8 @@
 	// relay and streams are nil without a backend server for TCP.
 	relay   *relay.Agent
 	streams net.Listener
+	// trace is the traceparent of the caller packet that is being handled.
+	trace string
 	// predecessor is what the agent takes over; nil without one.
 	predecessor *rpcapi.Takeover
 }
--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -68,6 +68,7 @@
 	}
 	service, ok := a.view.snapshot.Service(key.Service)
 	if ok && service.GetMode() == schema.Mode_REQUEST {
+		a.trace = span.TraceParent()
 		a.handleCaller(now, opening{
 			key:    key,
 			back:   back,
@@ -77,6 +78,7 @@
 			trace:  span.TraceParent(),
 			data:   data,
 		})
+		a.trace = ""
 		return
 	}
 	a.runFlow(a.flows.HandlePacket(now, flow.Packet{
--- a/internal/backendtest/backendtest.go
+++ b/internal/backendtest/backendtest.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 
 	mu       sync.Mutex
 	runs     map[string]int
+	traces   []string
 	peers    map[netip.AddrPort]bool
 	busy     time.Duration
 	inFlight int
@@ -37,11 +39,17 @@
 // Start runs a backend server on loopback addresses that the system chooses. A
 // request takes the service time.
 func Start(name string, service time.Duration) (*Server, error) {
-	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	return Listen(name, service, free, free)
+}
+
+// Listen is Start with given addresses for datagrams and for requests.
+func Listen(name string, service time.Duration, udpAddress, httpAddress netip.AddrPort) (*Server, error) {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(udpAddress))
 	if err != nil {
 		return nil, errors.Wrap(err, "bind UDP")
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", httpAddress.String())
 	if err != nil {
 		udp.Close()
 		return nil, errors.Wrap(err, "bind TCP")
@@ -114,6 +122,13 @@
 	return runs
 }
 
+// Traces returns the traceparent headers of the requests that had one.
+func (s *Server) Traces() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.traces)
+}
+
 // Peers returns the number of different sources of datagrams.
 func (s *Server) Peers() int {
 	s.mu.Lock()
@@ -163,7 +178,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !s.begin(identity(body)) {
+	if !s.begin(identity(body), r.Header.Get("traceparent")) {
 		http.Error(w, "shedding load", http.StatusServiceUnavailable)
 		return
 	}
@@ -187,13 +202,16 @@
 	return string(body)
 }
 
-func (s *Server) begin(id string) bool {
+func (s *Server) begin(id, trace string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.shed {
 		return false
 	}
 	s.runs[id]++
+	if trace != "" {
+		s.traces = append(s.traces, trace)
+	}
 	s.inFlight++
 	s.highest = max(s.highest, s.inFlight)
 	return true
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -6,6 +6,9 @@
 
 import (
 	"context"
+	"encoding/hex"
+	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -48,14 +51,17 @@
 	control  *control.Control
 	stage    *lifecycle.Machine
 	rpc      netip.AddrPort
-	// closeInterfaces frees the addresses of the interfaces for operators.
-	closeInterfaces context.CancelFunc
+	// interfaces are the listeners of the interfaces for operators.
+	interfaces []io.Closer
 
-	mu         sync.Mutex
-	accepted   time.Time
-	doubted    bool
+	mu       sync.Mutex
+	accepted time.Time
+	inForce  uint64 // revision that was accepted last
+	doubted  bool
+	failed   map[string]uint64 // failed hosts of the last view
+	// lastReason and lastLimit are those of the stop that began last.
 	lastReason string
-	failed     []string
+	lastLimit  time.Duration
 }
 
 func newProcess(role schema.Role, s *schema.CommonSettings, logger *telemetry.Logger) (*process, error) {
@@ -102,7 +108,7 @@
 		Platform:    p.watch(client),
 		Send:        func(to netip.AddrPort, f *schema.Frame) { p.send(socket, to, f) },
 		OnConfig:    func(s *config.Snapshot) { p.onConfig(s, h.config) },
-		OnView:      func(v *membership.View) { p.onView(v, h.view) },
+		OnView:      func(v *membership.View) { p.onView(v); h.view(v) },
 		OnConfirmed: func(ok bool) { p.onConfirmed(ok, h.confirmed) },
 		OnRejected:  p.onRejected,
 		OnLinkDoubt: func(d membership.LinkDoubt) { p.onLinkDoubt(d, h.doubt) },
@@ -134,18 +140,31 @@
 func (p *process) serve(ctx context.Context, api rpcapi.Process) error {
 	p.logger.Log(telemetry.ProcessStarted, "zone", p.settings.GetZone())
 	go p.control.Run(ctx)
-	ctx, p.closeInterfaces = context.WithCancel(ctx)
 	if address := p.settings.GetRpcAddress(); address != "" {
-		bound, err := rpcapi.Serve(ctx, address, api)
+		listener, err := rpcapi.Serve(address, api)
 		if err != nil {
 			return err
 		}
-		p.rpc = bound
+		p.rpc = listener.Addr().(*net.TCPAddr).AddrPort()
+		p.interfaces = append(p.interfaces, listener)
+	}
+	if err := p.serveMetrics(); err != nil {
+		p.closeInterfaces()
+		return err
+	}
+	context.AfterFunc(ctx, p.closeInterfaces)
+	return nil
+}
+
+// closeInterfaces frees the addresses of the interfaces for operators before it
+// returns, since a successor binds them as soon as it has the reply.
+func (p *process) closeInterfaces() {
+	for _, listener := range p.interfaces {
+		listener.Close()
 	}
-	return p.serveMetrics(ctx)
 }
 
-func (p *process) serveMetrics(ctx context.Context) error {
+func (p *process) serveMetrics() error {
 	address := p.settings.GetMetricsAddress()
 	if address == "" {
 		return nil
@@ -157,7 +176,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("/debug/vars", telemetry.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	context.AfterFunc(ctx, func() { server.Close() })
+	// The listener is closed as well, because the server knows it only once
+	// Serve has begun.
+	p.interfaces = append(p.interfaces, listener, server)
 	go server.Serve(listener)
 	return nil
 }
@@ -169,7 +190,7 @@
 	case lifecycle.Draining:
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.logger.Log(telemetry.StopBegun, "reason", p.lastReason)
+		p.logger.Log(telemetry.StopBegun, "reason", p.lastReason, "limit", p.lastLimit)
 	}
 }
 
@@ -183,32 +204,41 @@
 func (p *process) onConfig(s *config.Snapshot, apply func(*config.Snapshot)) {
 	p.mu.Lock()
 	p.accepted = time.Now()
+	previous := p.inForce
+	p.inForce = s.Revision()
 	p.mu.Unlock()
 	apply(s)
-	p.logger.Log(telemetry.ConfigAccepted, "revision", s.Revision())
+	p.logger.Log(telemetry.ConfigAccepted, "revision", s.Revision(), "previous", previous)
 }
 
-// onView logs which hosts failed and came back, at most maxHostEvents of each,
-// since a whole availability zone can fail at once.
-func (p *process) onView(v *membership.View, apply func(*membership.View)) {
+// onView logs which hosts failed and which came back since the last view.
+func (p *process) onView(v *membership.View) {
 	failed := v.Failed()
-	p.logHosts(telemetry.HostDead, failed, p.failed)
-	p.logHosts(telemetry.HostBack, p.failed, failed)
+	p.mu.Lock()
+	before := p.failed
 	p.failed = failed
-	apply(v)
+	p.mu.Unlock()
+	p.logHosts(telemetry.HostDead, failed, before)
+	for host := range before {
+		if v.State(host) != schema.HostState_LIVE {
+			delete(before, host)
+		}
+	}
+	p.logHosts(telemetry.HostBack, before, failed)
 }
 
-// logHosts logs the hosts of a list that are not in another one.
-func (p *process) logHosts(event telemetry.Event, list, without []string) {
+// logHosts logs the hosts that are in one set and not in another, at most
+// maxHostEvents, since a whole availability zone can fail at once.
+func (p *process) logHosts(event telemetry.Event, hosts, without map[string]uint64) {
 	count := 0
-	for _, host := range list {
-		if slices.Contains(without, host) {
+	for _, host := range slices.Sorted(maps.Keys(hosts)) {
+		if _, ok := without[host]; ok {
 			continue
 		}
 		if count++; count > maxHostEvents {
 			return
 		}
-		p.logger.Log(event, "peer", host)
+		p.logger.Log(event, "failed_host", host, "incarnation", hosts[host])
 	}
 }
 
@@ -246,13 +276,25 @@
 	if !ok {
 		event = telemetry.ConfigInvalid
 	}
-	p.logger.Log(event, "revision", r.Revision, "source", r.From, "error", r.Err)
+	pairs := []any{"revision", r.Revision, "source", r.From}
+	current := p.store.Current()
+	switch {
+	case event.Number == telemetry.ConfigInvalid.Number:
+		pairs = append(pairs, "faults", r.Err)
+	case event.Number == telemetry.ConfigLower.Number:
+		pairs = append(pairs, "current", p.revision())
+	case current != nil:
+		pairs = append(pairs, "current_digest", hex.EncodeToString(current.Digest()))
+	}
+	p.logger.Log(event, pairs...)
 }
 
-// drain begins a stop and says why.
-func (p *process) drain(reason string) {
+// drain begins a stop and says why, and after what time it ends at the latest; 0
+// means that the process stays.
+func (p *process) drain(reason string, limit time.Duration) {
 	p.mu.Lock()
 	p.lastReason = reason
+	p.lastLimit = limit
 	p.mu.Unlock()
 	if err := p.stage.Drain(); err != nil {
 		return
