Measure the tables of a balancer with a real host view

Cause: BenchmarkChange asks a view that answers at once; the real one hashes the host name and searches the host list for every target.

Change: the same benchmark with the view of a host list.

--- /dev/null
+++ b/internal/route/view_test.go
@@ -0,0 +1,54 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/config"
+	"github.com/peridotstall/peridotstall/internal/hostlist"
+	"github.com/peridotstall/peridotstall/internal/membership"
+	"github.com/peridotstall/peridotstall/internal/schema"
+)
+
+// BenchmarkChangeWithView measures the same as BenchmarkChange with the view of
+// a host list that has a host for each target, in place of a view that answers
+// at once.
+func BenchmarkChangeWithView(b *testing.B) {
+	for _, targets := range []int{5_100, 17_000, 51_000} {
+		c := sizedConfig(targets)
+		list := &schema.HostList{Version: 1}
+		for i, target := range c.GetTargets() {
+			list.Hosts = append(list.Hosts, &schema.Host{
+				Name: target.GetHost(), Zone: fmt.Sprintf("z%d", i%15), Address: target.GetAgentAddress(),
+				State: schema.HostState_LIVE, Role: schema.Role_AGENT,
+			})
+		}
+		hosts, err := hostlist.New(list)
+		if err != nil {
+			b.Fatal(err)
+		}
+		detector := membership.New(membership.Settings{Host: "h0", Incarnation: 1}, rand.New(rand.NewPCG(1, 1)))
+		detector.SetHosts(time.Unix(1, 0), hosts)
+		usable := detector.View().Usable
+		if !usable("h1") {
+			b.Fatal("the view does not know the hosts")
+		}
+		s, err := config.NewSnapshot(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		table := New(s, usable, Candidates)
+		b.Run(fmt.Sprintf("config/%d", targets), func(b *testing.B) {
+			for b.Loop() {
+				keep = New(s, usable, Candidates)
+			}
+		})
+		b.Run(fmt.Sprintf("hosts/%d", targets), func(b *testing.B) {
+			for b.Loop() {
+				keep = table.WithHosts(usable)
+			}
+		})
+	}
+}
