Measure the acceptance of a whole configuration

Cause: the processor time of a process that starts was known at one size.

Change: BenchmarkHeld reports it.

--- a/internal/config/held_test.go
+++ b/internal/config/held_test.go
@@ -31,9 +31,11 @@
 			}
 			data = nil
 			s := NewStore(time.Minute)
+			begin := processorTime()
 			if _, err := s.Offer(start, c); err != nil {
 				b.Fatal(err)
 			}
+			b.ReportMetric(float64(processorTime()-begin)/1e6, "accept-ms")
 			c = nil
 			one := liveHeap()
 			now := start
