--- /dev/null
+++ b/internal/capacity/lines.go
@@ -0,0 +1,314 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+)
+
+// messages returns a line of messages that are exchanged all the time, with the
+// processor time that follows from their number.
+func messages(role Role, item string, rate, frame float64, mechanism string) Line {
+	return Line{
+		Role: role, Scope: Control, Item: item,
+		Messages: rate, Bytes: rate * (frame + headers), Processor: rate * messageTime,
+		Mechanism: mechanism, Basis: WorkedOut,
+	}
+}
+
+// common returns the lines that every process has.
+func common(role Role, s Size) []Line {
+	changes := s.changesPerSecond()
+	lines := []Line{
+		messages(role, "RevisionNote", 4*exchangePeers, noteFrame, "exchange with 2 random peers a second, with replies (confsync)"),
+		messages(role, "ConfigDelta", changes*(1+fanOut), deltaFrame, "tree of fan-out 8 (confsync); figures of an inner process, 7 of 8 processes only receive"),
+		messages(role, "ConfigPull", 2*lossShare*changes, pullFrame, "pull of what was lost, assumed 1% (confsync)"),
+		chunks(role, s),
+		messages(role, "Probe", 2*probers, probeFrame, "3 probers per process, every second (membership)"),
+		messages(role, "ProbeReply", 2*probers, replyToProbe, "answer to each probe (membership)"),
+		messages(role, "Announce", 2*probers/float64(announceProbes), announceFrame, "repeated to the probers after 16 probes (membership)"),
+		messages(role, "Verdict", verdictRate(s), verdictFrame, "between the probers of a suspected process (membership)"),
+		messages(role, "host events", 2*s.eventsPerSecond(), eventBytes+batchFrame, "batches on 32 trees (membership), sent as ConfigChunk without content"),
+	}
+	return append(lines, state(role, s)...)
+}
+
+// chunks is the mean of the transfers to restarted processes.
+func chunks(role Role, s Size) Line {
+	bytes := 2 * (s.restartsPerDay() + s.failuresPerDay()) * s.joinBytes() / day / s.processes()
+	l := messages(role, "ConfigChunk", bytes/chunkData, chunkData, "transfer of configuration and host list to restarted processes (confsync), mean of a day")
+	l.State = "encoded content for 5 s after its last use"
+	return l
+}
+
+// joinBytes is what a process that starts receives.
+func (s *Size) joinBytes() float64 {
+	return configEncoded*float64(s.Targets) + hostEncoded*s.processes()
+}
+
+// verdictRate assumes that two probers tell the others their suspicion every
+// second for the 3 s until the verdict is spread.
+func verdictRate(s Size) float64 {
+	return 2 * s.failuresPerDay() * probers * (probers - 1) * 3 / day / s.processes()
+}
+
+// held is the number of superseded configurations within the window.
+func (s *Size) held() float64 {
+	return min(maxHeld, math.Ceil(s.changesPerSecond()*storeWindow))
+}
+
+// state returns the memory that every process has for configuration and hosts.
+func state(role Role, s Size) []Line {
+	targets := float64(s.Targets)
+	config := Line{
+		Role: role, Scope: Control, Item: "configuration in force",
+		State:     fmt.Sprintf("%s targets, %s services", grouped(targets), grouped(float64(s.Services))),
+		Memory:    configHeap * targets,
+		Processor: s.changesPerSecond() * (changeBase + changePerTarget*targets),
+		Mechanism: "store, one delta at a time (config)", Basis: Measured,
+	}
+	if config.Memory > budgetMemory/2 {
+		config.Limit = "takes more than half of the memory budget of a node in each process; a compact form (the encoded one has 107 bytes per target) and, at agents, only the services that they serve would reach it; not tried"
+	}
+	held := Line{
+		Role: role, Scope: Control, Item: "superseded configurations",
+		State:     fmt.Sprintf("%.0f within the window of 60 s", s.held()),
+		Memory:    s.held() * heldHeap * targets,
+		Processor: s.changesPerSecond() * heldHeap * targets * collectionPerByte,
+		Mechanism: "store (config); base of deltas and earlier candidates", Basis: Measured,
+	}
+	if held.Memory > budgetMemory/8 {
+		held.Limit = "grows with rate of changes times size; holding the deltas instead of the configurations would reach it; not tried"
+	}
+	hosts := Line{
+		Role: role, Scope: Control, Item: "host list and events",
+		State:     fmt.Sprintf("%s processes", grouped(s.processes())),
+		Memory:    (hostHeap + eventHeap) * s.processes(),
+		Mechanism: "compact list (hostlist, measured) and event table (membership, worked out)", Basis: WorkedOut,
+	}
+	return []Line{config, held, hosts}
+}
+
+// joining is the load of a process for the seconds after its start.
+func joining(role Role, s Size) Line {
+	bytes := s.joinBytes()
+	l := Line{
+		Role: role, Scope: Peak, Item: "join",
+		State: fmt.Sprintf("%s received once, in at least %s, and %s of processor time to accept it",
+			amount(bytes, "B"), duration(bytes/bulkRate), duration(acceptPerTarget*float64(s.Targets))),
+		Messages: bulkRate / chunkData, Bytes: min(bytes, bulkRate),
+		Memory:    bytes,
+		Mechanism: "transfer from a peer at up to 2 MiB/s (confsync)", Basis: WorkedOut,
+	}
+	if l.Bytes > budgetBytes {
+		l.Limit = fmt.Sprintf("%.0f times the bytes of the budget while it lasts, at receiver and sender; within the budget it would take %.0f s", l.Bytes/budgetBytes, bytes/budgetBytes)
+	}
+	return l
+}
+
+// leaving is the announcement of a process that stops, sent to two processes of
+// each zone and repeated three times within 2.1 s.
+func leaving(role Role, s Size) Line {
+	count := 4 * 2 * float64(s.Zones)
+	l := Line{
+		Role: role, Scope: Peak, Item: "announce leaving",
+		State:    fmt.Sprintf("%s messages in 2.1 s", grouped(count)),
+		Messages: count / 2.1, Bytes: count / 2.1 * (announceFrame + headers), Processor: count / 2.1 * messageTime,
+		Mechanism: "Announce to two processes of each zone, repeated (membership)", Basis: WorkedOut,
+	}
+	l.Limit = overBytes(l.Bytes)
+	return l
+}
+
+func balancerLines(s Size) []Line {
+	targets := float64(s.Targets)
+	table := Line{
+		Role: Balancer, Scope: Control, Item: "route table",
+		State:     "placement and one agent per target",
+		Memory:    routeHeap * targets,
+		Processor: s.changesPerSecond() * targets * (routePerTarget + routeHeap*collectionPerByte),
+		Mechanism: "built anew after each change (route)", Basis: Measured,
+	}
+	views := Line{
+		Role: Balancer, Scope: Control, Item: "changes of the host view",
+		State: fmt.Sprintf("%s per change and the collection of its garbage; %s changes a day, %s when all processes of a host always change in the same tick of 100 ms",
+			duration(hostsPerTarget*targets), grouped(day*s.eventsPerSecond()), grouped(2*float64(s.HostFailuresPerDay+s.HostRestartsPerDay))),
+		Processor: s.eventsPerSecond() * s.viewTime(),
+		Mechanism: "agents of the table copied with each change (route)", Basis: Measured,
+	}
+	if worst := ticksPerSecond * s.viewTime(); worst > budgetProcessor {
+		views.Limit = fmt.Sprintf("while hosts change in every tick of 100 ms it takes %s of a core, because each target is looked up by the name of its host and the table is copied; changing only the targets of the hosts concerned would reach it; not tried", percent(worst))
+	}
+	listeners := Line{
+		Role: Balancer, Scope: Control, Item: "service addresses",
+		State:     fmt.Sprintf("%s sockets and goroutines", grouped(float64(s.Services))),
+		Memory:    listenerHeap * float64(s.Services),
+		Mechanism: "one listener per address (balancer)", Basis: Measured,
+	}
+	if s.Services > 1024 {
+		listeners.Limit = "needs an open-file limit above 1,024 and, besides the memory shown, up to 4 MB of receive queue in the kernel per address under load; a list of listeners per balancer bounds both"
+	}
+	relay := Line{
+		Role: Balancer, Scope: Callers, Item: "TCP relay", Basis: NotBuilt,
+		Mechanism: "package relay",
+		Limit:     "services of mode TCP are not served",
+	}
+	openings := Line{
+		Role: Balancer, Scope: Callers, Item: "new flows",
+		State:     fmt.Sprintf("none; %.0f new flows a second for each balancer", float64(s.NewFlowsPerSecond)/float64(s.Nodes)),
+		Mechanism: "placed like any packet", Basis: WorkedOut,
+	}
+	lines := append(common(Balancer, s), table, views, listeners, joining(Balancer, s), leaving(Balancer, s))
+	return append(lines, packets(Balancer, "tunnel frames, 1,000 packets/s", balancerPacket), openings, relay)
+}
+
+// packets is the cost of 1,000 packets of callers a second.
+func packets(role Role, item string, perPacket float64) Line {
+	return Line{
+		Role: role, Scope: Callers, Item: item,
+		State:    "bytes beside those of the packet",
+		Messages: 1_000, Bytes: 1_000 * tunnelOverhead, Processor: 1_000 * perPacket,
+		Mechanism: "one frame per packet (tunnel); processor time measured, bytes worked out", Basis: Measured,
+	}
+}
+
+func agentLines(s Size) []Line {
+	targets := float64(s.Targets)
+	table := Line{
+		Role: Agent, Scope: Control, Item: "placement table",
+		State:     "all services",
+		Memory:    viewHeap * targets,
+		Processor: s.changesPerSecond() * targets * (viewPerTarget + viewHeap*collectionPerByte),
+		Mechanism: "built anew after each change (agent)", Basis: Measured,
+	}
+	lines := append(common(Agent, s), table, asks(s), replies(s), registrations(s), directory(s))
+	lines = append(lines, joining(Agent, s), leaving(Agent, s), unsettledPeak(s), displacedPeak(s), directoryPeak())
+	return append(lines, flowLines(s)...)
+}
+
+// unsettledShare is the share of time in which an agent asks before it opens a
+// flow: every change concerns one service.
+func (s *Size) unsettledShare() float64 {
+	return min(1, s.changesPerSecond()*window/float64(s.Services))
+}
+
+func asks(s Size) Line {
+	rate := 2 * asksPerFlow * s.openingsPerAgent() * s.unsettledShare()
+	l := messages(Agent, "Ask", rate, askFrame, "queries of unsettled agents (flow); each change of the configuration makes one service unsettled")
+	l.Processor = rate / 2 * queryTime
+	return l
+}
+
+func replies(s Size) Line {
+	l := messages(Agent, "AskReply", 2*asksPerFlow*s.openingsPerAgent()*s.unsettledShare(), replyFrame, "answers to queries (flow)")
+	l.Processor = 0
+	l.State = "processor time is part of Ask"
+	return l
+}
+
+// displacedShare is the mean share of displaced flows: a flow is displaced when
+// a change during its life adds a target to its service and moves it.
+func (s *Size) displacedShare() float64 {
+	if s.NewFlowsPerSecond == 0 {
+		return 0
+	}
+	life := float64(s.OpenFlows) / float64(s.NewFlowsPerSecond)
+	changes := s.changesPerSecond() / float64(s.Services) * life
+	return min(1, changes/(s.targetsPerService()+1))
+}
+
+// registerTraffic returns messages and bytes a second, sent and received, for a
+// number of displaced flows. Each is registered with two targets.
+func (s *Size) registerTraffic(flows float64) (rate, bytes float64) {
+	if flows <= 0 {
+		return 0, 0
+	}
+	receivers := max(1, min(2*flows, s.targetsPerService()-1))
+	frames := receivers * math.Ceil(2*flows/receivers/hashesPerFrame)
+	return 2 * frames / refresh, 2 * (2*flows*registerHash + frames*(registerFrame+headers)) / refresh
+}
+
+func registrations(s Size) Line {
+	flows := s.flowsPerAgent()
+	displaced := flows * s.displacedShare()
+	rate, bytes := s.registerTraffic(displaced)
+	return Line{
+		Role: Agent, Scope: Control, Item: "Register",
+		State:    fmt.Sprintf("%.1f of %s flows displaced", displaced, grouped(math.Round(flows))),
+		Messages: rate, Bytes: bytes,
+		Processor: flows*(registerPerFlow/refresh+sweepPerFlow) + rate*messageTime,
+		Mechanism: "refresh every 5 s (flow)", Basis: WorkedOut,
+	}
+}
+
+func directory(s Size) Line {
+	entries := 2 * s.flowsPerAgent() * s.displacedShare()
+	return Line{
+		Role: Agent, Scope: Control, Item: "directory",
+		State:  fmt.Sprintf("%.1f entries", entries),
+		Memory: entries * directoryHeap, Mechanism: "soft state (flow)", Basis: WorkedOut,
+	}
+}
+
+func unsettledPeak(s Size) Line {
+	rate := 2 * asksPerFlow * s.openingsPerAgent()
+	l := Line{
+		Role: Agent, Scope: Peak, Item: "all flows asked for",
+		State:    fmt.Sprintf("14 s after the start or a change of the service; first packet waits %s longer", duration(asksPerFlow*queryWait)),
+		Messages: 2 * rate, Bytes: rate * (askFrame + replyFrame + 2*headers), Processor: rate / 2 * queryTime,
+		Mechanism: "Ask and AskReply (flow)", Basis: WorkedOut,
+	}
+	l.Limit = overBytes(l.Bytes)
+	return l
+}
+
+func displacedPeak(s Size) Line {
+	flows := s.flowsPerAgent()
+	rate, bytes := s.registerTraffic(flows)
+	l := Line{
+		Role: Agent, Scope: Peak, Item: "all flows displaced",
+		State:    fmt.Sprintf("%s flows of a draining target", grouped(math.Round(flows))),
+		Messages: rate, Bytes: bytes, Processor: flows*displacedPerFlow/refresh + rate*messageTime,
+		Mechanism: "Register (flow)", Basis: WorkedOut,
+	}
+	l.Limit = overBytes(l.Bytes)
+	return l
+}
+
+func directoryPeak() Line {
+	return Line{
+		Role: Agent, Scope: Peak, Item: "directory full",
+		State: fmt.Sprintf("%s entries and promises", grouped(maxDirectory)), Memory: maxDirectory * directoryHeap,
+		Mechanism: "fixed bounds (flow)", Basis: Measured,
+	}
+}
+
+func overBytes(bytes float64) string {
+	if bytes <= budgetBytes {
+		return ""
+	}
+	return fmt.Sprintf("%.1f times the bytes of the budget while it lasts", bytes/budgetBytes)
+}
+
+func flowLines(s Size) []Line {
+	flows := s.flowsPerAgent()
+	return []Line{
+		{
+			Role: Agent, Scope: Callers, Item: "open plain flows",
+			State:  fmt.Sprintf("%s flows, a socket and a goroutine each; %s resident", grouped(math.Round(flows)), amount(flows*flowResident, "B")),
+			Memory: flows * flowHeap, Mechanism: "flow table and sockets (agent)", Basis: Measured,
+		},
+		{
+			Role: Agent, Scope: Callers, Item: "new flows",
+			State:     fmt.Sprintf("%.1f a second", s.openingsPerAgent()),
+			Processor: s.openingsPerAgent() * openTime,
+			Mechanism: "socket and goroutine for each (agent)", Basis: Measured,
+		},
+		packets(Agent, "tunnel frames, 1,000 packets/s", agentPacket),
+		packets(Agent, "tunnel frames, 1,000 answers/s", agentAnswer),
+		{
+			Role: Agent, Scope: Callers, Item: "retained requests",
+			State:  "at most 4,096 and 16 MiB of responses",
+			Memory: maxRetained*retainedHeap + retainedBytes, Mechanism: "request table (offer)", Basis: Measured,
+		},
+	}
+}
--- /dev/null
+++ b/internal/capacity/slopes.go
@@ -0,0 +1,154 @@
+package capacity
+
+// day is the number of seconds of a day.
+const day = 86_400.0
+
+// Budgets of the design page, per node, and the permitted calls of the
+// configuration service.
+const (
+	budgetProcessor = 0.022 // share of a core
+	budgetMemory    = 64e6  // bytes
+	budgetBytes     = 26e3  // bytes/s
+	budgetReads     = 2_000 // calls/s
+	// valueLimit is the largest value of the configuration service in bytes.
+	valueLimit = 1e6
+)
+
+// Measured slopes; commands and fits are in docs/measurements/capacity.md.
+const (
+	// configHeap is the heap of a configuration in force, bytes per target.
+	configHeap = 702.0
+	// heldHeap is the heap of one superseded configuration, bytes per target.
+	heldHeap = 31.0
+	// configEncoded is the size of an encoded configuration, bytes per target.
+	configEncoded = 107.0
+	// targetJSON and hostJSON are published sizes, bytes per target and host.
+	targetJSON = 188.0
+	hostJSON   = 98.0
+	// hostEncoded is the size of an encoded host list, bytes per host.
+	hostEncoded = 45.0
+	// hostHeap is the heap of the compact host list, bytes per host.
+	hostHeap = 76.0
+	// viewHeap is the heap of the placement table of an agent, routeHeap that of
+	// the table of a balancer, which contains it, bytes per target.
+	viewHeap  = 42.0
+	routeHeap = 197.0
+	// listenerHeap is heap and stack of a listener, bytes per service address.
+	listenerHeap = 2_693.0 + 4_151.0
+	// directoryHeap is the heap of a directory entry, bytes.
+	directoryHeap = 98.4
+	// flowHeap is heap and stack, flowResident the resident memory of an open
+	// plain flow with its socket and goroutine, bytes.
+	flowHeap     = 2_696.0 + 2_064.0
+	flowResident = 4_500.0
+	// retainedHeap is the heap of a retained request without its response, bytes.
+	retainedHeap = 870.0
+	// residentFactor and residentBase lead from live heap to resident memory:
+	// resident = base + factor * live heap, with the collector's default.
+	residentFactor = 2.1
+	residentBase   = 22e6
+
+	// changeBase and changePerTarget are the processor time of an accepted delta
+	// of one target, seconds and seconds per target.
+	changeBase      = 0.3e-3
+	changePerTarget = 105e-9
+	// viewPerTarget and routePerTarget are the time of the tables of an agent and
+	// of a balancer after a change, seconds per target. The latter grows faster
+	// than linear; this is the value at 51,000 targets, with a real host view.
+	viewPerTarget  = 87e-9
+	routePerTarget = 667e-9
+	// hostsPerTarget is the time of a balancer for a change of the host view,
+	// seconds per target.
+	hostsPerTarget = 497e-9
+	// collectionPerByte is the processor time of a garbage collection, seconds
+	// per byte of live heap. Measured values were 0.7e-9 to 1.5e-9.
+	collectionPerByte = 1e-9
+	// registerPerFlow and displacedPerFlow are the time of a registration for a
+	// flow that is not displaced and for one that is; sweepPerFlow is that of the
+	// timers in a second, seconds per flow.
+	registerPerFlow  = 146e-9
+	displacedPerFlow = 467e-9
+	sweepPerFlow     = 83e-9
+	// acceptPerTarget is the processor time of a process that starts for a whole
+	// configuration, seconds per target.
+	acceptPerTarget = 8.1e-6
+	// openTime is the processor time of an agent for a new flow, seconds.
+	openTime = 38e-6
+	// queryTime is the processor time of an ask and its reply at both agents
+	// together, seconds; queryWait adds to the first packet, seconds.
+	queryTime = 60e-6
+	queryWait = 40e-6
+	// balancerPacket, agentPacket and agentAnswer are processor times per packet
+	// of a caller, seconds.
+	balancerPacket = 4.8e-6
+	agentPacket    = 6.3e-6
+	agentAnswer    = 4.9e-6
+
+	// registerHash and registerFrame are the bytes of a Register frame per flow
+	// hash and per frame; askFrame and replyFrame those of Ask and AskReply, the
+	// latter with the 4 candidates of one view.
+	registerHash  = 8.0
+	registerFrame = 18.0
+	askFrame      = 29.0
+	replyFrame    = 46.0
+)
+
+// Sizes of messages of the control plane, worked out from the schema with host
+// names of 12 bytes and numbers of the target size, bytes.
+const (
+	headers       = 28.0 // IPv4 and UDP
+	noteFrame     = 65.0
+	pullFrame     = 14.0
+	deltaFrame    = 500.0
+	probeFrame    = 21.0
+	replyToProbe  = 30.0
+	announceFrame = 35.0
+	verdictFrame  = 48.0
+	eventBytes    = 16.0 // of one event in a batch
+	batchFrame    = 17.0
+	chunkData     = 1_200.0
+	// tunnelOverhead is what a frame adds to a packet of a caller, with headers.
+	tunnelOverhead = 66.0
+	// messageTime is the processor time of a control message sent or received,
+	// seconds: half of the time of an agent for a packet, which is received once
+	// and sent once.
+	messageTime = agentPacket / 2
+	// eventHeap is the heap of the state of a host in a map, bytes per host.
+	eventHeap = 50.0
+	// lossShare is the assumed share of messages that are lost and make a
+	// process pull what it lacks.
+	lossShare = 0.01
+)
+
+// Figures of the mechanisms, as in the packages named.
+const (
+	exchangePeers  = 2      // confsync: peers a second
+	probers        = 3      // membership: per process, one probe a second each
+	announceProbes = 16     // membership: probes between repeated announcements
+	checkPeers     = 16     // membership: probed in addition while a probe is lost
+	doubtShare     = 0.30   // membership
+	eventRate      = 10_240 // membership: bytes/s of events that a process sends
+	eventBurst     = 16_384 // membership: bytes
+	batchEvents    = 48     // membership: events in a batch
+	ticksPerSecond = 10     // control: most changes of the host view a second
+	fanOut         = 8      // hostlist
+	readersPerZone = 3      // hostlist
+	bulkRate       = 2 << 20
+	storeWindow    = 60.0 // daemon: seconds
+	maxHeld        = 16   // config: superseded configurations
+	partBurst      = 8    // control: parts read at once
+	partEvery      = 0.03 // control: seconds between further parts
+	watchWait      = 30.0 // confsync: seconds
+	watchGap       = 0.5  // confsync: seconds
+	fallbackRate   = 1_500
+	refresh        = 5.0  // flow: seconds between registrations
+	window         = 14.0 // flow: seconds for which a changed service is unsettled
+	hashesPerFrame = 140  // flow
+	asksPerFlow    = 3    // flow: the other candidates
+	maxDirectory   = 65_536 + 16_384
+	maxRetained    = 4_096
+	retainedBytes  = 16 << 20
+	// rackNodes is the number of nodes behind one rack or switch; the design page
+	// names none.
+	rackNodes = 40
+)
