--- /dev/null
+++ b/internal/capacity/page.go
@@ -0,0 +1,32 @@
+package capacity
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Page returns the page with its generated sections replaced by those of the
+// report. A section lies between "<!-- begin NAME -->" and "<!-- end NAME -->".
+func (r *Report) Page(page string) (string, error) {
+	for _, section := range []struct{ name, content string }{
+		{"size", r.sizeTable()},
+		{"lines", r.lineTables()},
+		{"sums", r.sumTable()},
+		{"day", r.dayTable()},
+		{"limits", r.limitList()},
+	} {
+		begin := "<!-- begin " + section.name + " -->\n"
+		end := "<!-- end " + section.name + " -->\n"
+		before, rest, ok := strings.Cut(page, begin)
+		if !ok {
+			return "", errors.Errorf("the page lacks the line %q", strings.TrimSpace(begin))
+		}
+		_, after, ok := strings.Cut(rest, end)
+		if !ok {
+			return "", errors.Errorf("the page lacks the line %q", strings.TrimSpace(end))
+		}
+		page = before + begin + "\n" + strings.TrimRight(section.content, "\n") + "\n\n" + end + after
+	}
+	return page, nil
+}
