Take the figures of the mechanisms from their packages

Cause: copies of exported constants would differ from them after a change.

Change: fan-out, readers, limits of flows, retained requests and values come from the packages that own them; unexported ones stay copies and say so.

--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -1,5 +1,12 @@
 package capacity
 
+import (
+	"github.com/peridotstall/peridotstall/internal/config"
+	"github.com/peridotstall/peridotstall/internal/flow"
+	"github.com/peridotstall/peridotstall/internal/hostlist"
+	"github.com/peridotstall/peridotstall/internal/offer"
+)
+
 // day is the number of seconds of a day.
 const day = 86_400.0
 
@@ -11,7 +18,7 @@
 	budgetBytes     = 26e3  // bytes/s
 	budgetReads     = 2_000 // calls/s
 	// valueLimit is the largest value of the configuration service in bytes.
-	valueLimit = 1e6
+	valueLimit = config.MaxValue
 )
 
 // Measured slopes; commands and fits are in docs/measurements/capacity.md.
@@ -120,7 +127,8 @@
 	lossShare = 0.01
 )
 
-// Figures of the mechanisms, as in the packages named.
+// Figures of the mechanisms. Those that the packages named do not export are
+// copies and must follow them.
 const (
 	exchangePeers  = 2      // confsync: peers a second
 	probers        = 3      // membership: per process, one probe a second each
@@ -131,8 +139,8 @@
 	eventBurst     = 16_384 // membership: bytes
 	batchEvents    = 48     // membership: events in a batch
 	ticksPerSecond = 10     // control: most changes of the host view a second
-	fanOut         = 8      // hostlist
-	readersPerZone = 3      // hostlist
+	fanOut         = hostlist.FanOut
+	readersPerZone = hostlist.ReadersPerZone
 	bulkRate       = 2 << 20
 	storeWindow    = 60.0 // daemon: seconds
 	maxHeld        = 16   // config: superseded configurations
@@ -141,14 +149,19 @@
 	watchWait      = 30.0 // confsync: seconds
 	watchGap       = 0.5  // confsync: seconds
 	fallbackRate   = 1_500
-	refresh        = 5.0  // flow: seconds between registrations
-	window         = 14.0 // flow: seconds for which a changed service is unsettled
-	hashesPerFrame = 140  // flow
-	asksPerFlow    = 3    // flow: the other candidates
-	maxDirectory   = 65_536 + 16_384
-	maxRetained    = 4_096
-	retainedBytes  = 16 << 20
+	hashesPerFrame = 140 // flow
+	asksPerFlow    = 3   // flow: the other candidates
+	maxRetained    = offer.MaxRetained
+	retainedBytes  = offer.MaxRetainedBytes
 	// rackNodes is the number of nodes behind one rack or switch; the design page
 	// names none.
 	rackNodes = 40
 )
+
+// Figures of the flow table: seconds between registrations, seconds for which a
+// changed service is unsettled, and entries and promises of a directory.
+var (
+	refresh      = flow.DefaultLimits().Refresh.Seconds()
+	window       = flow.DefaultLimits().Window.Seconds()
+	maxDirectory = float64(flow.DefaultLimits().DirectoryEntries + flow.DefaultLimits().Promises)
+)
