Keep promises beside directory entries in the change model

Cause: with three faults and a first candidate without entry, the search found two owners: a registration replaced a promise, and the entry went with its owner.

Change: a promise is recorded beside the entry and ends only when its agent, in contact, neither queries nor owns the flow unregistered.

--- a/models/change.pml
+++ b/models/change.pml
@@ -10,6 +10,9 @@
  * plain flow is then opened again and a session is reported lost. Neither may
  * happen while an owner lives.
  *
+ * NO_ENTRY starts without an entry at agent 1, for example because the owner
+ * opened the flow just before the change.
+ *
  * Variants, each without one rule or with a rule that is too weak:
  *   RESET_ON_TIMEOUT  an agent concludes when a queried one does not answer
  *   NO_WINDOW         a new first candidate is settled at once
@@ -17,6 +20,7 @@
  *   BLANK_NO          a restarted agent concludes from answers of agents that are unsettled
  *   EXPIRE_UNSEEN     an entry expires while its owner is out of contact
  *   NO_DIRECTORY      owners do not register
+ *   PROMISE_IN_ENTRY  a registration replaces a promise
  *   REACH             shows that a flow whose owner restarted is concluded
  */
 #define AGENTS 3
@@ -39,7 +43,12 @@
 bool newRevision[AGENTS];
 bool knowsOld[AGENTS];            /* remembers the candidates of the first revision */
 bool paused[AGENTS];
+#ifdef NO_ENTRY
+byte directory[AGENTS] = NOBODY;
+#else
 byte directory[AGENTS] = { NOBODY, 0, NOBODY };  /* the second candidate knows the owner */
+#endif
+byte promised[AGENTS] = NOBODY;   /* agent that got a "no" */
 byte waiting[AGENTS];             /* peers whose answer an open query lacks */
 byte no[AGENTS];                  /* peers whose "no" is on the way */
 byte vouched[AGENTS];             /* of those, peers that were settled in the same revision */
@@ -64,7 +73,8 @@
 #endif
   owns[a] = true;
   endQuery(a);
-  directory[a] = NOBODY
+  directory[a] = NOBODY;
+  promised[a] = NOBODY
 }
 
 /* Agents that are queried: all candidates of the second revision, and agent 0
@@ -74,7 +84,7 @@
 
 inline receivePacket(a) {
   if
-  :: owns[a] || waiting[a] != 0 || directory[a] != NOBODY -> skip
+  :: owns[a] || waiting[a] != 0 || directory[a] != NOBODY || promised[a] != NOBODY -> skip
   /* Agent 0 is no candidate of the second revision and forwards the frame. */
   :: else ->
     if
@@ -100,10 +110,15 @@
   if
   :: owns[a] -> learnOwner(b, a, a)
   :: !owns[a] && directory[a] != NOBODY && directory[a] != b -> learnOwner(b, a, directory[a])
-  :: !owns[a] && directory[a] == NOBODY && waiting[a] != 0 && a < b -> learnOwner(b, a, a)
+  :: !owns[a] && (directory[a] == NOBODY || directory[a] == b) && promised[a] != NOBODY && promised[a] != b -> learnOwner(b, a, promised[a])
+  :: !owns[a] && directory[a] == NOBODY && promised[a] == NOBODY && waiting[a] != 0 && a < b -> learnOwner(b, a, a)
   :: else ->
     endQuery(a);
+#ifdef PROMISE_IN_ENTRY
     directory[a] = b;
+#else
+    promised[a] = b;
+#endif
     if
     :: HAS(waiting[b], a) ->
       no[b] = no[b] | BIT(a);
@@ -198,6 +213,10 @@
   :: d_step { directory[_pid] != NOBODY && EXPIRED(_pid) && QUIET(_pid) &&
       !REGISTERS(_pid, NEXT(_pid)) && !REGISTERS(_pid, LAST(_pid)) ->
       directory[_pid] = NOBODY }
+  /* A promise ends when its agent, in contact, does not own the flow, or has registered. */
+  :: d_step { promised[_pid] != NOBODY && CONTACT(_pid, promised[_pid]) && QUIET(_pid) &&
+      (!owns[promised[_pid]] || directory[_pid] == promised[_pid]) ->
+      promised[_pid] = NOBODY }
   :: atomic { !paused[_pid] && waiting[_pid] != 0 ->
 #ifdef RESET_ON_TIMEOUT
       conclude(_pid)
@@ -218,6 +237,7 @@
       knowsOld[_pid] = false;
       paused[_pid] = false;
       directory[_pid] = NOBODY;
+      promised[_pid] = NOBODY;
       endQuery(_pid) }
   :: d_step { faults < FAULTS && !paused[_pid] -> faults++; paused[_pid] = true }
   :: d_step { paused[_pid] ->
