Keep promises beside entries; a restarted agent needs a word that counts

Change: replies say whether the agent has been running for the whole window; for services that do not open on a timeout a restarted agent opens only after a "no" of one that has. Promises and registrations are kept beside each other. Targets that a change removed from a service keep its window open while they are out of contact. Before: the two new tests fail without the changes (the fields did not exist).

--- a/internal/flow/contact_test.go
+++ b/internal/flow/contact_test.go
@@ -83,3 +83,36 @@
 	c.Assert(kinds(actions), qt.DeepEquals, []string{"flow.SendReply"})
 	c.Check(actions[0].(SendReply).Reply.Owner, qt.Equals, uint32(1))
 }
+
+// Guards against a restarted agent that opens a flow because others that
+// restarted as well do not know it.
+func TestRestartedAgentNeedsOneThatRemembers(t *testing.T) {
+	c := qt.New(t)
+	for _, remembers := range []bool{false, true} {
+		core := newTestCore(100, schema.TimeoutAction_ANSWER_UNKNOWN_OUTCOME)
+		var last []Action
+		for _, a := range core.HandlePacket(start, Packet{Key: keyAt(0, 0)}) {
+			ask := a.(SendAsk)
+			last = core.HandleReply(start, &schema.AskReply{
+				Sequence: ask.Ask.Sequence, FlowHash: ask.Ask.FlowHash, From: ask.Target, Remembers: remembers,
+			})
+		}
+		_, opened := last[0].(Deliver)
+		c.Check(opened, qt.Equals, remembers)
+	}
+}
+
+// Guards against a promise that is forgotten because another target registered
+// the flow and then restarted.
+func TestPromiseOutlivesARegistration(t *testing.T) {
+	c := qt.New(t)
+	core := newTestCore(100, schema.TimeoutAction_ANSWER_UNKNOWN_OUTCOME)
+	key := keyAt(0, 0)
+	hash := testTable().Hash(key)
+	core.HandleAsk(settled, &schema.Ask{Sequence: 1, FlowHash: hash, Asker: 2, Service: 1})
+	core.HandleRegister(settled, &schema.Register{Owner: 3, Service: 1, FlowHashes: []uint64{hash}})
+	core.HandleRegister(settled, &schema.Register{Owner: 3, Service: 1, FlowHashes: []uint64{hash}, Remove: true})
+	actions := core.HandlePacket(settled, Packet{Key: key})
+	c.Assert(kinds(actions), qt.DeepEquals, []string{"flow.Forward"})
+	c.Check(actions[0].(Forward).Target, qt.Equals, uint32(2))
+}
--- a/internal/flow/directory.go
+++ b/internal/flow/directory.go
@@ -22,8 +22,10 @@
 
 // directory knows flows of other targets. Registered entries come from their
 // owners. Promised entries are flows that this agent promised not to open.
-// Both are soft state. They have separate bounds, so that a flood of unknown
-// flows, which creates promises, cannot displace registrations.
+// Both are soft state. They are kept beside each other: an entry goes when its
+// owner restarts, and the promise to another target must outlive that (model
+// change). Separate bounds keep a flood of unknown flows, which creates
+// promises, from displacing registrations.
 type directory struct {
 	limits     Limits
 	registered map[uint64]location
@@ -50,14 +52,12 @@
 
 // register notes an owner and reports whether there was room.
 func (d *directory) register(now time.Time, hash uint64, owner uint32) bool {
-	delete(d.promised, hash)
 	return d.put(d.registered, d.limits.DirectoryEntries, now, hash, owner)
 }
 
 // promise notes that another target may open the flow and this one will not.
 // It reports whether there was room; without room no promise may be given.
 func (d *directory) promise(now time.Time, hash uint64, target uint32) bool {
-	delete(d.registered, hash)
 	return d.put(d.promised, d.limits.Promises, now, hash, target)
 }
 
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -21,6 +21,8 @@
 	key     placement.Key
 	packets []Packet
 	asked   []*query
+	// remembered is set by a "no" of an agent that remembers.
+	remembered bool
 }
 
 // query is one question to one target.
@@ -69,7 +71,7 @@
 // worthAsking leaves out targets that were found dead when the service opens
 // flows on a timeout anyway; the wait would only delay every new flow.
 func (c *Core) worthAsking(service uint32, owners []uint32) []uint32 {
-	if c.view.Services[service].TimeoutAction != schema.TimeoutAction_OPEN_ON_TIMEOUT {
+	if !c.opensOnTimeout(service) {
 		return owners
 	}
 	return slices.DeleteFunc(owners, c.view.Dead)
@@ -169,7 +171,12 @@
 // open it; without room to remember the promise no reply is sent.
 func (c *Core) HandleAsk(now time.Time, a *schema.Ask) []Action {
 	c.out = nil
-	reply := &schema.AskReply{Sequence: a.Sequence, FlowHash: a.FlowHash, From: c.self}
+	reply := &schema.AskReply{
+		Sequence:  a.Sequence,
+		FlowHash:  a.FlowHash,
+		From:      c.self,
+		Remembers: c.settle.remembers(now),
+	}
 	if c.view.Table != nil {
 		reply.Also = c.recentCandidates(now, a.Service, a.FlowHash)
 	}
@@ -213,6 +220,7 @@
 		return nil
 	}
 	q.answered = true
+	waiting.remembered = waiting.remembered || r.Remembers
 	if r.Owner != 0 && r.Owner != c.self && (r.Owned || !c.view.Dead(r.Owner)) {
 		c.directory.register(now, r.FlowHash, r.Owner)
 		c.handOver(waiting, r.Owner)
@@ -266,12 +274,28 @@
 	return true
 }
 
-// finish opens a flow after all others have promised not to.
+// finish opens a flow after all others have promised not to. A restarted agent
+// needs the word of one that remembers: two agents that restarted together know
+// nothing of a flow whose owner is out of contact (model change, BLANK_NO).
 func (c *Core) finish(now time.Time, waiting *pending) {
 	c.release(waiting)
+	if !waiting.remembered && !c.settle.remembers(now) && !c.opensOnTimeout(waiting.key.Service) {
+		c.dropAll(waiting, "no target that was asked has been running for long enough")
+		return
+	}
 	c.open(now, waiting.hash, waiting.packets)
 }
 
+func (c *Core) opensOnTimeout(service uint32) bool {
+	return c.view.Services[service].TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT
+}
+
+func (c *Core) dropAll(waiting *pending, cause string) {
+	for _, p := range waiting.packets {
+		c.drop(p, schema.ErrorKind_UNKNOWN_OUTCOME, cause)
+	}
+}
+
 func (c *Core) release(waiting *pending) {
 	delete(c.pending, waiting.hash)
 	c.held -= len(waiting.packets)
@@ -331,16 +355,14 @@
 
 func (c *Core) decideUnanswered(now time.Time, waiting *pending) {
 	c.stats.AskTimeouts++
-	open := c.view.Services[waiting.key.Service].TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT
+	open := c.opensOnTimeout(waiting.key.Service)
 	c.emit(AskTimeout{Key: waiting.key, Missing: waiting.missing(), Opened: open})
 	if open {
 		c.finish(now, waiting)
 		return
 	}
 	c.release(waiting)
-	for _, p := range waiting.packets {
-		c.drop(p, schema.ErrorKind_UNKNOWN_OUTCOME, "an earlier candidate did not answer")
-	}
+	c.dropAll(waiting, "an earlier candidate did not answer")
 }
 
 // missing returns the targets that have not answered.
--- a/internal/flow/view.go
+++ b/internal/flow/view.go
@@ -37,6 +37,12 @@
 	return now.Before(s.until) || now.Before(s.services[id])
 }
 
+// remembers reports whether what the agent does not know is worth a "no" to a
+// restarted agent: it has been running and in contact for the whole window.
+func (s *settle) remembers(now time.Time) bool {
+	return !s.unconfirmed && !now.Before(s.until)
+}
+
 func (s *settle) unsettled(now time.Time, service uint32) bool {
 	return s.unconfirmed || s.pending(now, service)
 }
@@ -71,6 +77,9 @@
 	service uint32
 	table   *placement.Table
 	until   time.Time
+	// limit ends the time for which a target out of contact keeps the window
+	// open, since it may have been removed for good.
+	limit time.Time
 }
 
 // changeService makes the agent ask the earlier candidates of a service for a
@@ -79,7 +88,7 @@
 func (c *Core) changeService(now time.Time, id uint32, old *placement.Table) {
 	window := c.limits.Window
 	service := c.view.Services[id]
-	if service.TimeoutAction != schema.TimeoutAction_OPEN_ON_TIMEOUT {
+	if old != nil && service.TimeoutAction != schema.TimeoutAction_OPEN_ON_TIMEOUT {
 		window = max(window, service.IdleTimeout)
 	}
 	until := now.Add(window)
@@ -88,7 +97,7 @@
 	if old == nil {
 		return
 	}
-	c.history = append(c.history, retired{service: id, table: old.Only(id), until: until})
+	c.history = append(c.history, retired{service: id, table: old.Only(id), until: until, limit: now.Add(c.limits.HoldDead)})
 	if len(c.history) > maxHistory {
 		c.history = c.history[1:]
 	}
@@ -100,19 +109,32 @@
 // prefer to go on. A target that is lost after the window has ended changes
 // nothing: it registered before, and opens nothing without an answer from here.
 func (c *Core) extendWindows(now time.Time) {
-	for id, service := range c.view.Services {
-		if service.TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT || !c.settle.pending(now, id) {
+	until := now.Add(c.limits.Window)
+	for id := range c.view.Services {
+		if c.opensOnTimeout(id) || !c.settle.pending(now, id) || !c.anyDead(now, id) {
 			continue
 		}
-		for _, target := range c.view.Table.Targets(id) {
-			if target.ID != c.self && c.view.Dead(target.ID) {
-				c.settle.service(id, now.Add(c.limits.Window))
-				break
+		c.settle.service(id, until)
+		for i := range c.history {
+			if r := &c.history[i]; r.service == id && now.Before(r.until) {
+				r.until = until
 			}
 		}
 	}
 }
 
+// anyDead reports whether a present or recent target of a service is out of
+// contact. One that was removed from the service counts for HoldDead only.
+func (c *Core) anyDead(now time.Time, service uint32) bool {
+	dead := func(t placement.Weighted) bool { return t.ID != c.self && c.view.Dead(t.ID) }
+	if slices.ContainsFunc(c.view.Table.Targets(service), dead) {
+		return true
+	}
+	return slices.ContainsFunc(c.history, func(r retired) bool {
+		return r.service == service && now.Before(r.limit) && slices.ContainsFunc(r.table.Targets(service), dead)
+	})
+}
+
 // recentCandidates returns the candidates of a flow by the present and the
 // recent views.
 func (c *Core) recentCandidates(now time.Time, service uint32, hash uint64) []uint32 {
