Serve only after a peer that serves has answered

Cause: a restarted process that reached no peer in three rounds served what a stale service handed out, and took the word of peers that were joining themselves; the model shows both as a revision that goes down (1,940 and 5,728 states). Change: notes say whether the sender serves; without such a peer a process serves only when three rounds in sequence were answered by all and none serves. Before: TestJoinNeedsAPeerThatServes fails for "silence" and "one joins, one is silent". After: passes; the tests of internal/control and the demo pass as before.

--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -190,7 +190,12 @@
 
 // note states the own revision to a peer.
 func (s *Syncer) note(to netip.AddrPort, reply bool) Action {
-	n := &schema.RevisionNote{From: s.settings.Host, Reply: reply, HostVersion: s.hosts.Version()}
+	n := &schema.RevisionNote{
+		From:        s.settings.Host,
+		Reply:       reply,
+		Serving:     s.Joined(),
+		HostVersion: s.hosts.Version(),
+	}
 	if current := s.store.Current(); current != nil {
 		n.Revision = current.Revision()
 		n.Digest = current.Digest()
--- a/internal/confsync/join.go
+++ b/internal/confsync/join.go
@@ -14,9 +14,12 @@
 	joinResend = 300 * time.Millisecond
 	// joinRound is the length of a round: three questions.
 	joinRound = 900 * time.Millisecond
-	// lonelyRounds without an answer, each to peers drawn anew, make a read of
-	// the configuration service count although no peer confirmed it.
-	lonelyRounds = 3
+	// coldRounds in sequence, each to peers drawn anew, in which every peer
+	// answered and none serves, mean that the whole fleet is starting. Only then
+	// a read of the configuration service counts without a peer that serves.
+	// Silence never does: behind a partition others may serve a higher revision
+	// while the service is stale (model accept, SILENCE_IS_ANSWER).
+	coldRounds = 3
 	// joinBackoffMax limits the pause between rounds.
 	joinBackoffMax = 10 * time.Second
 )
@@ -37,8 +40,8 @@
 	answers map[netip.AddrPort]*schema.RevisionNote
 	failed  map[netip.AddrPort]bool
 	rounds  int
-	// lonely counts rounds in sequence without an answer.
-	lonely int
+	// cold counts rounds in sequence in which all answered and none serves.
+	cold int
 	// best is the highest claim of the last round.
 	best uint64
 	// byService is set when the service was read since joining started.
@@ -126,10 +129,11 @@
 func (s *Syncer) endRound(now time.Time) []Action {
 	j := &s.join
 	j.rounds++
-	if len(j.answers) > 0 {
-		j.lonely = 0
-	} else if len(j.asked) > 0 {
-		j.lonely++
+	switch {
+	case s.servingAnswer():
+		j.cold = 0
+	case len(j.asked) > 0 && len(j.answers) == len(j.asked):
+		j.cold++
 	}
 	best, peer := s.bestAnswer()
 	j.best = best
@@ -176,15 +180,25 @@
 	return best, source
 }
 
+// servingAnswer reports whether a peer that serves answered in this round.
+func (s *Syncer) servingAnswer() bool {
+	for _, n := range s.join.answers {
+		if n.GetServing() {
+			return true
+		}
+	}
+	return false
+}
+
 // settle ends joining when the own revision, or that of the service, is not
-// below what the peers know. Without any answer it waits for lonelyRounds, so
-// that one stale read cannot win against peers that are slow to answer.
+// below what the peers know. That needs the word of a peer that serves, or
+// that no other process serves.
 func (s *Syncer) settle(now time.Time, best uint64) []Action {
 	j := &s.join
 	// Without a host list the process does not know whether it has peers, and
 	// waits for it.
-	nobody := (len(j.asked) == 0 && s.hosts != nil) || j.lonely >= lonelyRounds
-	if len(j.answers) == 0 && !nobody {
+	nobody := (len(j.asked) == 0 && s.hosts != nil) || j.cold >= coldRounds
+	if !s.servingAnswer() && !nobody {
 		return nil
 	}
 	var out []Action
