--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -123,14 +124,14 @@
 func TestDrainingAndFlows(t *testing.T) {
 	c := qt.New(t)
 	a := New(settings(3, WeightedFair), rand.New(rand.NewPCG(1, 2)))
-	open := 0
-	for range 30 {
-		if a.OpenFlow(epoch, "house", "feed") == nil {
-			open++
+	open := func(member string) (flows int) {
+		for a.OpenFlow(epoch, member, "feed") == nil {
+			flows++
 		}
+		return flows
 	}
-	c.Assert(open, qt.Equals, 15)
-	c.Assert(a.OpenFlow(epoch, "shop", "feed") == nil, qt.IsTrue)
+	c.Assert(open("house"), qt.Equals, 15)
+	c.Assert(open("shop"), qt.Equals, 5)
 	ticket, refusal := a.Reserve(epoch, Request{Member: "shop", Class: "bid"})
 	c.Assert(refusal == nil, qt.IsTrue)
 	a.SetDraining(true)
@@ -141,5 +142,76 @@
 	next, ok := a.Next(epoch)
 	c.Assert(ok && next == ticket, qt.IsTrue)
 	a.CloseFlow("house", "feed")
-	c.Assert(a.flows, qt.Equals, 15)
+	c.Assert(a.flows, qt.Equals, 19)
+}
+
+// Guards against a class that gets less than its floor while it always has
+// work, whatever the others offer. A request is not stopped, so the floor may
+// lag by the largest request of any class in each slot.
+func TestFloorsHold(t *testing.T) {
+	const length = 5 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		algorithm := map[bool]Algorithm{false: WeightedFair, true: FIFO}[bounded(FIFO)]
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		busy := rapid.IntRange(0, 3).Draw(t, "busy class")
+		var sources []source
+		for i, cl := range classes() {
+			src := source{member: "house", class: cl.Name, deadline: time.Hour}
+			src.slots = rapid.Float64Range(0.1, 20).Draw(t, "load")
+			if i == busy {
+				src.slots = 1.5 * float64(slots)
+			}
+			src.service = time.Duration(rapid.IntRange(5, 300).Draw(t, "service ms")) * time.Millisecond
+			sources = append(sources, src)
+		}
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), settings(slots, algorithm), []float64{1}, sources...).run(length)
+		largest := time.Duration(0)
+		for _, st := range s.servers[0].Stats() {
+			largest = max(largest, st.Service.Max)
+		}
+		cl := classes()[busy]
+		got := s.slotShare(length, func(st ClassStats) bool { return st.Class == cl.Name })
+		if lag := largest.Seconds() / length.Seconds(); got+lag < float64(cl.FloorPercent)/100 {
+			t.Fatalf("%s got %.3f of the slots, floor %d%%, lag %.3f", cl.Name, got, cl.FloorPercent, lag)
+		}
+	})
+}
+
+// Guards against a member that saves up service while it always has a request
+// running and none queued, and then keeps the other out for seconds.
+func TestNoSavedService(t *testing.T) {
+	set := settings(4, WeightedFair)
+	set.Warm, set.Members = true, map[string]uint32{"house": 1, "shop": 3}
+	a, now := New(set, rand.New(rand.NewPCG(1, 2))), epoch
+	var running []Ticket // in order of start
+	add := func(member string) {
+		ticket, _ := a.Reserve(now, Request{Member: member, Class: "bid"})
+		a.Enqueue(now, ticket)
+		for ticket, ok := a.Next(now); ok; ticket, ok = a.Next(now) {
+			running = append(running, ticket)
+		}
+	}
+	end := func(i int) {
+		now = now.Add(5 * time.Millisecond)
+		a.Done(now, running[i], Result{ServiceTime: 20 * time.Millisecond})
+		running = slices.Delete(running, i, i+1)
+	}
+	add("shop")
+	for range 500 {
+		add("shop")
+		end(0)
+		add("house")
+		end(1)
+	}
+	before := a.queue("house", "bid").wait.h.TotalCount()
+	for range 60 {
+		add("shop")
+		add("house")
+		if len(running) == 4 {
+			end(0)
+		}
+	}
+	// A quarter of the 60 starts is the share of the house.
+	got := a.queue("house", "bid").wait.h.TotalCount() - before
+	qt.Assert(t, got >= 10, qt.IsTrue, qt.Commentf("%d starts", got))
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,11 +13,14 @@
 	// long enough to hold tens of arrivals of an interactive class and short
 	// enough that slots held back for a class that stopped are lent soon.
 	rateWindow = 2 * time.Second
+	// minAge bounds the correction of the rate for a class that is new: it divides
+	// by the part of the window that was seen.
+	minAge = 200 * time.Millisecond
 	// maxCredit bounds the time for which a class that did not get its share
 	// may catch up.
 	maxCredit = 2 * time.Second
 	// meanWeight is the weight of one sample in the mean service time and slack.
-	meanWeight = 0.1
+	meanWeight = 0.05
 )
 
 // average is an exponentially weighted mean of durations.
@@ -70,13 +73,16 @@
 	floorAcct  account
 	shareAcct  account
 	service    average
-	slack      average // time between arrival and deadline
-	rate       float64 // arrivals per second
+	slack      average       // time between arrival and deadline
+	rate       float64       // arrivals per second
+	idle       time.Duration // time since the last arrival
+	age        time.Duration // time since the first arrival
 }
 
 // arrived counts an arrival in the rate and the slack of the class.
 func (cl *class) arrived(now, deadline time.Time) {
 	cl.rate += 1 / rateWindow.Seconds()
+	cl.idle = 0
 	if !deadline.IsZero() {
 		cl.slack.add(deadline.Sub(now))
 	}
@@ -84,6 +90,10 @@
 
 // advance accounts for a step of time.
 func (cl *class) advance(step time.Duration, s shares) {
+	cl.idle += step
+	if cl.rate > 0 {
+		cl.age += step
+	}
 	cl.rate *= math.Exp(-step.Seconds() / rateWindow.Seconds())
 	work := cl.hasQueued() || cl.running > 0
 	debt := cl.service.mean().Seconds()
@@ -91,14 +101,19 @@
 	cl.shareAcct.advance(step, s.share, float64(cl.running), debt, work)
 }
 
-// demand is the number of slots that the arrivals of the class keep busy.
+// demand is the number of slots that the arrivals of the class keep busy. It is
+// one before the first sample: a class that is given no slot never gets a sample.
 func (cl *class) demand() float64 {
-	return cl.rate * cl.service.mean().Seconds()
+	if !cl.service.known {
+		return 1
+	}
+	seen := 1 - math.Exp(-max(cl.age, minAge).Seconds()/rateWindow.Seconds())
+	return cl.rate / seen * cl.service.mean().Seconds()
 }
 
 // present reports whether the class takes part in the division of the slots.
 func (cl *class) present() bool {
-	return cl.running > 0 || cl.demand() >= minDemand || cl.hasQueued()
+	return cl.running > 0 || cl.idle < holdWindow || cl.hasQueued()
 }
 
 func (cl *class) hasQueued() bool {
@@ -140,10 +155,10 @@
 	return len(q.items) + q.reserved
 }
 
-// push appends a request. A member that had no work starts level with the one
-// served last: it neither saves up service nor pays for service it got alone.
+// push appends a request. A member that had nothing queued starts at least level
+// with the one served last, so that it does not save up service.
 func (q *queue) push(e *entry) {
-	if len(q.items) == 0 && q.running == 0 {
+	if len(q.items) == 0 {
 		q.virtual = max(q.virtual, q.class.virtual)
 	}
 	q.items = append(q.items, e)
@@ -160,7 +175,7 @@
 	q.virtual += d.Seconds() / q.weight
 }
 
-// head returns the first request whose deadline has not passed, or nil.
+// head returns the first request that can still meet its deadline, or nil.
 func (q *queue) head(now time.Time) *entry {
 	for _, e := range q.items {
 		if !e.late(now) {
@@ -170,7 +185,7 @@
 	return nil
 }
 
-// expired returns the queued requests whose deadline passed.
+// expired returns the queued requests that cannot meet their deadline.
 func (q *queue) expired(now time.Time) []*entry {
 	var out []*entry
 	for _, e := range q.items {
@@ -181,9 +196,18 @@
 	return out
 }
 
-// late reports whether the deadline passed.
+// late reports whether the response would come after the deadline. Without the
+// service time, up to 9% of the requests that met their deadline were lost to
+// requests that ran in vain. A class that runs nothing gets no new samples, so
+// its service time is not trusted.
 func (e *entry) late(now time.Time) bool {
-	return !e.deadline.IsZero() && !now.Before(e.deadline)
+	if e.deadline.IsZero() {
+		return false
+	}
+	if cl := e.queue.class; cl.running > 0 {
+		now = now.Add(cl.service.mean())
+	}
+	return !now.Before(e.deadline)
 }
 
 // addMembers fixes the members and their weights.
@@ -227,6 +251,7 @@
 		floor:      float64(s.GetFloorPercent()),
 		weight:     float64(s.GetWeight()),
 		queueLimit: limit,
+		idle:       holdWindow,
 	}
 	for _, member := range c.members {
 		cl.queues = append(cl.queues, newQueue(member, c.weights[member], cl))
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -49,8 +49,6 @@
 type View struct {
 	// Table places flows by the revision in force.
 	Table *placement.Table
-	// Previous are the tables of earlier revisions within the window, newest first.
-	Previous []*placement.Table
 	// Services are the services of this agent's target.
 	Services map[uint32]Service
 	// Usable reports whether a target may get new flows.
@@ -82,6 +80,9 @@
 	// registrations.
 	EntryTTL time.Duration
 	Refresh  time.Duration
+	// HoldDead is the time for which entries of a target that is out of contact
+	// stay after their lifetime.
+	HoldDead time.Duration
 	// MaxAge is the age above which a packet opens nothing.
 	MaxAge time.Duration
 	// PauseThreshold is the gap between ticks that counts as a pause.
@@ -91,7 +92,10 @@
 // DefaultLimits returns the limits of the design page.
 func DefaultLimits() Limits {
 	return Limits{
-		Window:           6 * time.Second,
+		// Two registration intervals and the 4 s in which a change is in force
+		// everywhere: after that the directory knows all displaced flows, even
+		// when one registration was lost.
+		Window:           14 * time.Second,
 		AskTimeout:       100 * time.Millisecond,
 		AskTries:         3,
 		HeldPerFlow:      4,
@@ -99,7 +103,8 @@
 		DirectoryEntries: 65536,
 		Promises:         16384,
 		EntryTTL:         30 * time.Second,
-		Refresh:          10 * time.Second,
+		HoldDead:         10 * time.Minute,
+		Refresh:          5 * time.Second,
 		MaxAge:           2 * time.Second,
 		PauseThreshold:   2 * time.Second,
 	}
@@ -152,6 +157,22 @@
 	Cause  string
 }
 
+// OutOfOrder reports a flow that a later candidate opened.
+type OutOfOrder struct {
+	Key placement.Key
+	// Position is the place of this target in the order, from 0.
+	Position int
+}
+
+// AskTimeout reports that asked targets did not answer.
+type AskTimeout struct {
+	Key placement.Key
+	// Missing are the targets that did not answer.
+	Missing []uint32
+	// Opened says whether the flow was opened all the same.
+	Opened bool
+}
+
 // CloseReason says why a flow ended.
 type CloseReason int
 
@@ -172,11 +193,14 @@
 func (SendRegister) action() {}
 func (Close) action()        {}
 func (Drop) action()         {}
+func (OutOfOrder) action()   {}
+func (AskTimeout) action()   {}
 
 // owned is a flow of this agent.
 type owned struct {
 	key        placement.Key
 	hash       uint64
+	idle       time.Duration
 	lastCaller time.Time
 	lastPacket time.Time
 }
@@ -217,12 +241,20 @@
 	sequence  uint64
 
 	settle      settle
+	history     []retired
 	usable      map[uint32]bool
 	lastTick    time.Time
 	lastRefresh time.Time
 	nextIdle    time.Time
 	stats       Stats
 	out         []Action
+	baseline    bool
+}
+
+// SetBaseline makes the agent open every unknown flow without asking, as a
+// balancer that only hashes needs it. It serves for comparison only.
+func (c *Core) SetBaseline(on bool) {
+	c.baseline = on
 }
 
 // New returns the core of the agent of a target. It starts unsettled, since an
@@ -261,15 +293,16 @@
 // HandlePacket decides about a packet of a caller.
 func (c *Core) HandlePacket(now time.Time, p Packet) []Action {
 	c.out = nil
-	if _, ok := c.view.Services[p.Key.Service]; !ok {
-		c.drop(p, schema.ErrorKind_WRONG_SERVICE, "the target does not serve the service")
-		return c.out
-	}
 	if f := c.flows[p.Key]; f != nil {
+		// Flows stay also when the target no longer serves the service.
 		f.lastCaller, f.lastPacket = now, now
 		c.emit(Deliver{Packet: p})
 		return c.out
 	}
+	if _, ok := c.view.Services[p.Key.Service]; !ok {
+		c.drop(p, schema.ErrorKind_WRONG_SERVICE, "the target does not serve the service")
+		return c.out
+	}
 	c.handleUnknown(now, p)
 	return c.out
 }
@@ -300,7 +333,10 @@
 	c.lastTick = now
 	c.tickPending(now)
 	c.closeIdle(now)
-	c.directory.expire(now)
+	if c.view.Table != nil {
+		c.directory.expire(now, c.view.Dead)
+		c.extendWindows(now)
+	}
 	if now.Sub(c.lastRefresh) >= c.limits.Refresh {
 		c.registerAll(now)
 	}
@@ -326,7 +362,13 @@
 		c.passOn(now, hash, packets, err)
 		return
 	}
-	f := &owned{key: first.Key, hash: hash, lastCaller: now, lastPacket: now}
+	f := &owned{
+		key:        first.Key,
+		hash:       hash,
+		idle:       c.view.Services[first.Key.Service].IdleTimeout,
+		lastCaller: now,
+		lastPacket: now,
+	}
 	c.flows[f.key] = f
 	c.byHash[hash] = f
 	c.directory.forget(hash)
@@ -334,6 +376,9 @@
 	for i, p := range packets {
 		c.emit(Deliver{Packet: p, Opened: i == 0})
 	}
+	if position := slices.Index(c.candidates(f.key.Service, hash), c.self); position != 0 {
+		c.emit(OutOfOrder{Key: f.key, Position: position})
+	}
 	c.registerOne(f)
 }
 
@@ -360,8 +405,7 @@
 	c.nextIdle = now.Add(time.Second)
 	var idle []*owned
 	for _, f := range c.flows {
-		timeout := c.view.Services[f.key.Service].IdleTimeout
-		if timeout > 0 && now.Sub(f.lastPacket) >= timeout {
+		if f.idle > 0 && now.Sub(f.lastPacket) >= f.idle {
 			idle = append(idle, f)
 		}
 	}
--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -11,12 +12,17 @@
 	"github.com/peridotstall/peridotstall/internal/wire"
 )
 
+// maxQueries bounds the targets that are asked about one flow.
+const maxQueries = 16
+
 // pending is a flow for which replies are awaited.
 type pending struct {
 	hash    uint64
 	key     placement.Key
 	packets []Packet
 	asked   []*query
+	// remembered is set by a "no" of an agent that remembers.
+	remembered bool
 }
 
 // query is one question to one target.
@@ -31,11 +37,15 @@
 // handleUnknown decides about a packet of a flow that this agent does not own.
 func (c *Core) handleUnknown(now time.Time, p Packet) {
 	hash := c.hash(p.Key)
+	if c.baseline {
+		c.open(now, hash, []Packet{p})
+		return
+	}
 	if waiting := c.pending[hash]; waiting != nil {
 		c.hold(waiting, p)
 		return
 	}
-	target, known := c.directory.lookup(now, hash)
+	target, known := c.directory.lookup(hash)
 	known = known && !slices.Contains(p.Passed, target)
 	if known && !c.view.Dead(target) {
 		c.forward(p, target)
@@ -61,7 +71,7 @@
 // worthAsking leaves out targets that were found dead when the service opens
 // flows on a timeout anyway; the wait would only delay every new flow.
 func (c *Core) worthAsking(service uint32, owners []uint32) []uint32 {
-	if c.view.Services[service].TimeoutAction != schema.TimeoutAction_OPEN_ON_TIMEOUT {
+	if !c.opensOnTimeout(service) {
 		return owners
 	}
 	return slices.DeleteFunc(owners, c.view.Dead)
@@ -87,30 +97,22 @@
 }
 
 // earlierOwners returns the targets that may own the flow already. A settled
-// first candidate need not ask anybody. A later candidate asks those before it.
-// An unsettled agent asks all candidates, also those of earlier revisions.
+// first candidate need not ask anybody. A later candidate asks those before it,
+// except the ones that passed the flow on. An unsettled agent asks all candidates,
+// also those of earlier revisions and those that passed the flow on: their
+// promise may be from before its own restart (model handover, TRUST_PASSED).
 func (c *Core) earlierOwners(now time.Time, hash uint64, p Packet, order []uint32, position int) []uint32 {
-	var ask []uint32
-	add := func(id uint32) {
-		if id != c.self && !slices.Contains(p.Passed, id) && !slices.Contains(ask, id) {
-			ask = append(ask, id)
-		}
-	}
-	for _, id := range order[:position] {
-		add(id)
-	}
-	if !c.settle.unsettled(now, p.Key.Service) {
-		return ask
-	}
-	for _, id := range order[position:] {
-		add(id)
-	}
-	for _, table := range c.view.Previous {
-		for _, id := range table.Candidates(p.Key.Service, hash, nil) {
-			add(id)
+	ask := []uint32{}
+	if c.settle.unsettled(now, p.Key.Service) {
+		ask = c.recentCandidates(now, p.Key.Service, hash)
+	} else {
+		for _, id := range order[:position] {
+			if !slices.Contains(p.Passed, id) {
+				ask = append(ask, id)
+			}
 		}
 	}
-	return ask
+	return slices.DeleteFunc(ask, func(id uint32) bool { return id == c.self })
 }
 
 func (c *Core) openOrAsk(now time.Time, hash uint64, p Packet, ask []uint32) {
@@ -131,18 +133,24 @@
 	c.pending[hash] = waiting
 	c.hold(waiting, p)
 	for _, target := range targets {
-		c.sequence++
-		q := &query{target: target, sequence: c.sequence}
-		waiting.asked = append(waiting.asked, q)
-		c.sendAsk(now, waiting, q)
+		c.addQuery(now, waiting, target)
 	}
 }
 
+func (c *Core) addQuery(now time.Time, waiting *pending, target uint32) {
+	c.sequence++
+	q := &query{target: target, sequence: c.sequence}
+	waiting.asked = append(waiting.asked, q)
+	c.sendAsk(now, waiting, q)
+}
+
 func (c *Core) hold(waiting *pending, p Packet) {
 	if len(waiting.packets) >= c.limits.HeldPerFlow || c.held >= c.limits.HeldTotal {
 		c.drop(p, schema.ErrorKind_REFUSED_OVERLOAD, "too many buffered packets")
 		return
 	}
+	// The payload is valid during the call only.
+	p.Payload = bytes.Clone(p.Payload)
 	waiting.packets = append(waiting.packets, p)
 	c.held++
 }
@@ -163,21 +171,30 @@
 // open it; without room to remember the promise no reply is sent.
 func (c *Core) HandleAsk(now time.Time, a *schema.Ask) []Action {
 	c.out = nil
-	reply := &schema.AskReply{Sequence: a.Sequence, FlowHash: a.FlowHash, From: c.self}
+	reply := &schema.AskReply{
+		Sequence:  a.Sequence,
+		FlowHash:  a.FlowHash,
+		From:      c.self,
+		Remembers: c.settle.remembers(now),
+	}
+	if c.view.Table != nil {
+		reply.Also = c.recentCandidates(now, a.Service, a.FlowHash)
+	}
 	if c.byHash[a.FlowHash] != nil {
 		reply.Owned = true
 		reply.Owner = c.self
 		c.emit(SendReply{Target: a.Asker, Reply: reply})
 		return c.out
 	}
-	if owner, ok := c.directory.lookup(now, a.FlowHash); ok && owner != a.Asker {
+	if owner, ok := c.directory.lookup(a.FlowHash); ok && owner != a.Asker {
 		reply.Owner = owner
 		c.emit(SendReply{Target: a.Asker, Reply: reply})
 		return c.out
 	}
 	if waiting := c.pending[a.FlowHash]; waiting != nil {
-		if c.precedes(a.Service, a.FlowHash, c.self, a.Asker) {
-			// Both are about to open the flow; the earlier candidate does.
+		if c.self < a.Asker {
+			// Both are about to open the flow. The lower target ID does, which
+			// is the same in all views; the order of candidates is not.
 			reply.Owner = c.self
 			c.emit(SendReply{Target: a.Asker, Reply: reply})
 			return c.out
@@ -203,17 +220,40 @@
 		return nil
 	}
 	q.answered = true
-	if r.Owner != 0 && r.Owner != c.self {
+	waiting.remembered = waiting.remembered || r.Remembers
+	if r.Owner != 0 && r.Owner != c.self && (r.Owned || !c.view.Dead(r.Owner)) {
 		c.directory.register(now, r.FlowHash, r.Owner)
 		c.handOver(waiting, r.Owner)
 		return c.out
 	}
+	also := r.Also
+	if r.Owner != 0 {
+		// The replying agent knows an owner that looks dead from here. It is
+		// asked itself, like any other target that may own the flow.
+		also = append(slices.Clone(also), r.Owner)
+	}
+	c.askAlso(now, waiting, also)
 	if waiting.complete() {
 		c.finish(now, waiting)
 	}
 	return c.out
 }
 
+// askAlso asks the candidates that another agent knows from its own views. A
+// new agent has no earlier view, and an agent with an earlier revision does not
+// know the later candidates.
+func (c *Core) askAlso(now time.Time, waiting *pending, also []uint32) {
+	known := func(id uint32) bool {
+		return id == c.self || slices.ContainsFunc(waiting.asked, func(q *query) bool { return q.target == id })
+	}
+	fresh := slices.DeleteFunc(slices.Clone(also), known)
+	for _, id := range c.worthAsking(waiting.key.Service, fresh) {
+		if len(waiting.asked) < maxQueries {
+			c.addQuery(now, waiting, id)
+		}
+	}
+}
+
 // find returns the query that a reply belongs to. Replies to queries of an
 // earlier attempt, for example from before a pause, match none.
 func (w *pending) find(r *schema.AskReply) *query {
@@ -234,12 +274,28 @@
 	return true
 }
 
-// finish opens a flow after all others have promised not to.
+// finish opens a flow after all others have promised not to. A restarted agent
+// needs the word of one that remembers: two agents that restarted together know
+// nothing of a flow whose owner is out of contact (model change, BLANK_NO).
 func (c *Core) finish(now time.Time, waiting *pending) {
 	c.release(waiting)
+	if !waiting.remembered && !c.settle.remembers(now) && !c.opensOnTimeout(waiting.key.Service) {
+		c.dropAll(waiting, "no target that was asked has been running for long enough")
+		return
+	}
 	c.open(now, waiting.hash, waiting.packets)
 }
 
+func (c *Core) opensOnTimeout(service uint32) bool {
+	return c.view.Services[service].TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT
+}
+
+func (c *Core) dropAll(waiting *pending, cause string) {
+	for _, p := range waiting.packets {
+		c.drop(p, schema.ErrorKind_UNKNOWN_OUTCOME, cause)
+	}
+}
+
 func (c *Core) release(waiting *pending) {
 	delete(c.pending, waiting.hash)
 	c.held -= len(waiting.packets)
@@ -299,12 +355,23 @@
 
 func (c *Core) decideUnanswered(now time.Time, waiting *pending) {
 	c.stats.AskTimeouts++
-	if c.view.Services[waiting.key.Service].TimeoutAction == schema.TimeoutAction_OPEN_ON_TIMEOUT {
+	open := c.opensOnTimeout(waiting.key.Service)
+	c.emit(AskTimeout{Key: waiting.key, Missing: waiting.missing(), Opened: open})
+	if open {
 		c.finish(now, waiting)
 		return
 	}
 	c.release(waiting)
-	for _, p := range waiting.packets {
-		c.drop(p, schema.ErrorKind_UNKNOWN_OUTCOME, "an earlier candidate did not answer")
+	c.dropAll(waiting, "an earlier candidate did not answer")
+}
+
+// missing returns the targets that have not answered.
+func (w *pending) missing() []uint32 {
+	var list []uint32
+	for _, q := range w.asked {
+		if !q.answered {
+			list = append(list, q.target)
+		}
 	}
+	return list
 }
--- a/internal/flow/view.go
+++ b/internal/flow/view.go
@@ -9,6 +9,10 @@
 	"github.com/peridotstall/peridotstall/internal/schema"
 )
 
+// maxHistory bounds the earlier tables that are kept; at the target size a
+// service changes a few times a day.
+const maxHistory = 64
+
 // settle records until when the agent must ask others before it opens a flow.
 type settle struct {
 	until    time.Time
@@ -28,8 +32,19 @@
 	s.services[id] = until
 }
 
+// pending reports whether a window of a service has not ended.
+func (s *settle) pending(now time.Time, id uint32) bool {
+	return now.Before(s.until) || now.Before(s.services[id])
+}
+
+// remembers reports whether what the agent does not know is worth a "no" to a
+// restarted agent: it has been running and in contact for the whole window.
+func (s *settle) remembers(now time.Time) bool {
+	return !s.unconfirmed && !now.Before(s.until)
+}
+
 func (s *settle) unsettled(now time.Time, service uint32) bool {
-	return s.unconfirmed || now.Before(s.until) || now.Before(s.services[service])
+	return s.unconfirmed || s.pending(now, service)
 }
 
 // SetView takes in a new view of the fleet. Services whose candidates changed
@@ -40,9 +55,9 @@
 	old := c.view
 	c.view = v
 	changed := false
-	for id := range v.Services {
+	for _, id := range slices.Sorted(maps.Keys(v.Services)) {
 		if old.Table == nil || !v.Table.SameTargets(id, old.Table) {
-			c.settle.service(id, now.Add(c.limits.Window))
+			c.changeService(now, id, old.Table)
 			changed = true
 		}
 	}
@@ -57,6 +72,86 @@
 	return c.out
 }
 
+// retired is the table of one service in an earlier revision.
+type retired struct {
+	service uint32
+	table   *placement.Table
+	until   time.Time
+	// limit ends the time for which a target out of contact keeps the window
+	// open, since it may have been removed for good.
+	limit time.Time
+}
+
+// changeService makes the agent ask the earlier candidates of a service for a
+// while. For work that must not be opened on a guess that is as long as an
+// owner that does not answer may still hold the flow.
+func (c *Core) changeService(now time.Time, id uint32, old *placement.Table) {
+	window := c.limits.Window
+	service := c.view.Services[id]
+	if old != nil && service.TimeoutAction != schema.TimeoutAction_OPEN_ON_TIMEOUT {
+		window = max(window, service.IdleTimeout)
+	}
+	until := now.Add(window)
+	c.settle.service(id, until)
+	c.history = slices.DeleteFunc(c.history, func(r retired) bool { return !now.Before(r.until) })
+	if old == nil {
+		return
+	}
+	c.history = append(c.history, retired{service: id, table: old.Only(id), until: until, limit: now.Add(c.limits.HoldDead)})
+	if len(c.history) > maxHistory {
+		c.history = c.history[1:]
+	}
+}
+
+// extendWindows keeps the window of a service open while one of its targets is
+// out of contact, since that target may own flows it could not register here
+// (models handover and change, TIMED_WINDOW). Services that open on a timeout
+// prefer to go on. A target that is lost after the window has ended changes
+// nothing: it registered before, and opens nothing without an answer from here.
+func (c *Core) extendWindows(now time.Time) {
+	until := now.Add(c.limits.Window)
+	for id := range c.view.Services {
+		if c.opensOnTimeout(id) || !c.settle.pending(now, id) || !c.anyDead(now, id) {
+			continue
+		}
+		c.settle.service(id, until)
+		for i := range c.history {
+			if r := &c.history[i]; r.service == id && now.Before(r.until) {
+				r.until = until
+			}
+		}
+	}
+}
+
+// anyDead reports whether a present or recent target of a service is out of
+// contact. One that was removed from the service counts for HoldDead only.
+func (c *Core) anyDead(now time.Time, service uint32) bool {
+	dead := func(t placement.Weighted) bool { return t.ID != c.self && c.view.Dead(t.ID) }
+	if slices.ContainsFunc(c.view.Table.Targets(service), dead) {
+		return true
+	}
+	return slices.ContainsFunc(c.history, func(r retired) bool {
+		return r.service == service && now.Before(r.limit) && slices.ContainsFunc(r.table.Targets(service), dead)
+	})
+}
+
+// recentCandidates returns the candidates of a flow by the present and the
+// recent views.
+func (c *Core) recentCandidates(now time.Time, service uint32, hash uint64) []uint32 {
+	list := slices.Clone(c.candidates(service, hash))
+	for _, r := range c.history {
+		if r.service != service || !now.Before(r.until) {
+			continue
+		}
+		for _, id := range r.table.Candidates(service, hash, nil) {
+			if !slices.Contains(list, id) {
+				list = append(list, id)
+			}
+		}
+	}
+	return list
+}
+
 // usableTargets lists the targets of the agent's services that get new flows.
 func usableTargets(v View) map[uint32]bool {
 	usable := map[uint32]bool{}
@@ -115,13 +210,30 @@
 	return c.view.Table.Candidates(service, hash, buf[:0])
 }
 
-// precedes reports whether a is an earlier candidate than b. A target that is
-// no candidate comes last; between two of those the lower ID is first.
-func (c *Core) precedes(service uint32, hash uint64, a, b uint32) bool {
-	order := c.candidates(service, hash)
-	i, j := slices.Index(order, a), slices.Index(order, b)
-	if i < 0 && j < 0 {
-		return a < b
+// Knowledge is what an agent knows about one flow.
+type Knowledge struct {
+	Hash       uint64
+	Candidates []uint32
+	// Owned is set when the agent owns the flow.
+	Owned bool
+	// Directory is the owner by the directory, 0 when there is none.
+	Directory uint32
+	// Waiting is set while queries about the flow are in progress.
+	Waiting bool
+	// Settled is set when the agent needs to ask nobody as first candidate.
+	Settled bool
+}
+
+// Explain returns what the agent knows about a flow.
+func (c *Core) Explain(now time.Time, key placement.Key) Knowledge {
+	hash := c.hash(key)
+	target, _ := c.directory.lookup(hash)
+	return Knowledge{
+		Hash:       hash,
+		Candidates: slices.Clone(c.candidates(key.Service, hash)),
+		Owned:      c.flows[key] != nil,
+		Directory:  target,
+		Waiting:    c.pending[hash] != nil,
+		Settled:    !c.settle.unsettled(now, key.Service),
 	}
-	return i >= 0 && (j < 0 || i < j)
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -36,15 +36,19 @@
 		Message: "process was paused; offers and queued openings are dropped", Fields: []string{"jump"}}
 )
 
+// StateError reports a step of a stop that failed.
+var StateError = Event{Number: 111, Level: log.ErrorLevel, Name: "state_error",
+	Message: "a step of the process state failed", Fields: []string{"error"}}
+
 // Events of the configuration: 200 to 299.
 var (
 	ConfigAccepted = Event{Number: 200, Level: log.InfoLevel, Name: "config_accepted",
-		Message: "configuration accepted", Fields: []string{"revision", "previous", "source"}}
+		Message: "configuration accepted", Fields: []string{"revision", "previous"}}
 	ConfigLower = Event{Number: 201, Level: log.WarnLevel, Name: "config_rejected_lower",
 		Message: "configuration rejected: lower revision", Fields: []string{"revision", "current", "source"}}
 	ConfigConflict = Event{Number: 202, Level: log.ErrorLevel, Name: "config_rejected_conflict",
 		Message: "configuration rejected: same revision with another digest",
-		Fields:  []string{"revision", "digest", "current_digest", "source"}}
+		Fields:  []string{"revision", "current_digest", "source"}}
 	ConfigInvalid = Event{Number: 203, Level: log.ErrorLevel, Name: "config_rejected_invalid",
 		Message: "configuration rejected: invalid content", Fields: []string{"revision", "faults", "source"}}
 	ConfigServiceUnreachable = Event{Number: 204, Level: log.WarnLevel, Name: "config_service_unreachable",
@@ -53,12 +57,16 @@
 		Message: "configuration service is reachable again", Fields: []string{"url", "outage"}}
 )
 
+// ListenerFailed reports a service address that this host cannot bind.
+var ListenerFailed = Event{Number: 210, Level: log.ErrorLevel, Name: "listener_failed",
+	Message: "service address cannot be bound; trying again", Fields: []string{"service", "error"}}
+
 // Events of the membership: 300 to 399.
 var (
 	HostDead = Event{Number: 300, Level: log.WarnLevel, Name: "host_dead",
-		Message: "host is considered failed", Fields: []string{"host", "incarnation", "probers"}}
+		Message: "host is considered failed", Fields: []string{"failed_host", "incarnation"}}
 	HostBack = Event{Number: 301, Level: log.InfoLevel, Name: "host_back",
-		Message: "host answers again", Fields: []string{"host", "incarnation"}}
+		Message: "host answers again", Fields: []string{"failed_host", "incarnation"}}
 	OwnLinkDoubted = Event{Number: 302, Level: log.WarnLevel, Name: "own_link_doubted",
 		Message: "too many peers appear failed at once; own link is suspected", Fields: []string{"failed", "probed"}}
 	OwnLinkTrusted = Event{Number: 303, Level: log.InfoLevel, Name: "own_link_trusted",
@@ -67,13 +75,21 @@
 
 // Events of the flows: 400 to 499.
 var (
-	FlowOpenedOutOfOrder = Event{Number: 400, Level: log.InfoLevel, Name: "flow_opened_out_of_order",
+	FlowOpenedOutOfOrder = Event{Number: 400, Level: log.DebugLevel, Name: "flow_opened_out_of_order",
 		Message: "flow opened by a target that is not its first candidate",
 		Fields:  []string{"service", "flow", "position"}}
 	HandoverTimeout = Event{Number: 401, Level: log.WarnLevel, Name: "handover_query_timeout",
-		Message: "a queried candidate did not answer", Fields: []string{"service", "flow", "missing", "action"}}
+		Message: "queried candidates did not answer", Fields: []string{"service", "kind", "count"}, Limited: true}
 )
 
+// BackendUnreachable reports that no socket towards the backend server could be opened.
+var BackendUnreachable = Event{Number: 410, Level: log.ErrorLevel, Name: "backend_unreachable",
+	Message: "backend server cannot be reached", Fields: []string{"service", "error"}}
+
+// FlowLost reports a flow that a successor process could not take over.
+var FlowLost = Event{Number: 411, Level: log.ErrorLevel, Name: "flow_lost",
+	Message: "flow of the previous process was lost", Fields: []string{"service", "error"}}
+
 // Events of packets and work: 500 to 599.
 var (
 	PacketDropped = Event{Number: 500, Level: log.WarnLevel, Name: "packet_dropped",
@@ -85,11 +101,11 @@
 // Events returns the catalogue, ordered by number.
 func Events() []Event {
 	return []Event{
-		ProcessStarted, ProcessReady, StopBegun, Stopped, ClockJump,
+		ProcessStarted, ProcessReady, StopBegun, Stopped, ClockJump, StateError,
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
-		ConfigServiceUnreachable, ConfigServiceReachable,
+		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted,
-		FlowOpenedOutOfOrder, HandoverTimeout,
+		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
 	}
 }
