--- a/internal/agent/stop.go
+++ b/internal/agent/stop.go
@@ -72,7 +72,7 @@
 	o := a.offers.Stats()
 	return Cut{
 		Flows:    a.flows.Stats().Flows + o.Sessions,
-		Requests: a.offers.Unfinished(),
+		Requests: a.offers.Unfinished(time.Now()),
 	}
 }
 
--- a/internal/offer/machine.go
+++ b/internal/offer/machine.go
@@ -325,6 +325,7 @@
 	for _, r := range m.ordered() {
 		if r.state == stateOffered {
 			m.giveUp(now, r, schema.ErrorKind_REFUSED_DRAINING, "")
+			r.tell = now.Add(OfferLife)
 		}
 	}
 	return m.flush()
--- a/internal/offer/record.go
+++ b/internal/offer/record.go
@@ -52,6 +52,9 @@
 
 	state   state
 	expires time.Time // of the offer, then of the retained outcome
+	// tell is the time until which the caller of a withdrawn offer may still send
+	// its request; zero when it was told or has no such offer.
+	tell time.Time
 
 	ticket  Ticket
 	request *fragment.Receiver
--- a/internal/offer/request.go
+++ b/internal/offer/request.go
@@ -284,6 +284,7 @@
 		kind = schema.ErrorKind_UNKNOWN_OUTCOME
 		detail = "the answer was delivered and is no longer retained"
 	}
+	r.tell = time.Time{}
 	m.reply(r, outcomePacket(kind, detail))
 }
 
