Doubt the own link only when more than half of the peers look dead

Cause: with one of three availability zones lost a third of the probed peers look dead, above the limit of 30%; every process doubted its own link and new flows went on to the dead zone. Change: limit 50%; a cut of the own zone shows at least 67% in a fleet of three. The capacity page follows the control plane, the relay and the host view as built.

--- a/internal/capacity/day.go
+++ b/internal/capacity/day.go
@@ -44,14 +44,21 @@
 	return Event{
 		Name: name, Processes: count,
 		Bytes:     2 * count * 2 * (eventBytes + batchFrame + headers),
-		Processor: changes * s.viewTime(),
+		Processor: changes * viewTime(s.notLive()),
 		Effect:    effect,
 	}
 }
 
-// viewTime is the processor time of a balancer for a change of the host view.
-func (s *Size) viewTime() float64 {
-	return float64(s.Targets) * (hostsPerTarget + (routeHeap-viewHeap)*collectionPerByte)
+// viewTime is the processor time of a balancer for a change of the host view
+// while a number of hosts are not live.
+func viewTime(notLive float64) float64 {
+	return notLive * changedHost
+}
+
+// notLive is the number of hosts that are not live on an ordinary day: those
+// that failed and those that restart at the moment.
+func (s *Size) notLive() float64 {
+	return s.failuresPerDay() + s.restartsPerDay()*restartSeconds/day
 }
 
 func restarts(s Size) Event {
@@ -69,7 +76,7 @@
 		Effect:  effect + "; their open flows are lost",
 	}
 	changes := min(ticksPerSecond, processes/verdictSeconds)
-	e.Processor = changes * s.viewTime()
+	e.Processor = changes * viewTime(s.notLive()+processes)
 	if e.Processor > budgetProcessor {
 		e.Limit = fmt.Sprintf("up to %s of a core at each balancer while verdicts arrive", percent(e.Processor))
 	}
@@ -88,7 +95,7 @@
 	e := group("a region cut off", s.processes()*share, s, "")
 	inside := doubting(1 - share)
 	outside := doubting(share)
-	e.Effect = fmt.Sprintf("both sides serve what they own; %s of the processes in the region and %s of the others see more than 30%% of 19 probed peers dead, doubt their own link and keep using all hosts", percent(inside), percent(outside))
+	e.Effect = fmt.Sprintf("both sides serve what they own; %s of the processes in the region and %s of the others see more than %s of 19 probed peers dead, doubt their own link and keep using all hosts", percent(inside), percent(outside), percent(doubtShare))
 	e.Limit = fmt.Sprintf("%s of the balancers outside keep placing new flows on targets that they cannot reach, worked out for peers chosen independently of the region; a check with more peers or by region would reach it, not tried. The other processes spread %s verdicts", percent(outside), grouped(e.Processes))
 	return e
 }
@@ -135,7 +142,7 @@
 	e := Event{
 		Name: "all balancers restarted in an hour", Processes: count,
 		Bytes:     2 * 2 * count * (eventBytes + batchFrame + headers),
-		Processor: changes * s.viewTime(),
+		Processor: changes * viewTime(s.notLive()),
 		Effect:    fmt.Sprintf("no flow is broken by it; transfers of %s over the fleet, %s for each process", amount(count*s.joinBytes()/hour, "B/s"), amount(2*count*s.joinBytes()/hour/s.processes(), "B/s")),
 	}
 	if total := e.Processor + budgetOfChanges(s); total > budgetProcessor {
--- a/internal/capacity/lines.go
+++ b/internal/capacity/lines.go
@@ -130,13 +130,10 @@
 	}
 	views := Line{
 		Role: Balancer, Scope: Control, Item: "changes of the host view",
-		State: fmt.Sprintf("%s per change and the collection of its garbage; %s changes a day, %s when all processes of a host always change in the same tick of 100 ms",
-			duration(hostsPerTarget*targets), grouped(day*s.eventsPerSecond()), grouped(2*float64(s.HostFailuresPerDay+s.HostRestartsPerDay))),
-		Processor: s.eventsPerSecond() * s.viewTime(),
-		Mechanism: "agents of the table copied with each change (route)", Basis: Measured,
-	}
-	if worst := ticksPerSecond * s.viewTime(); worst > budgetProcessor {
-		views.Limit = fmt.Sprintf("while hosts change in every tick of 100 ms it takes %s of a core, because each target is looked up by the name of its host and the table is copied; changing only the targets of the hosts concerned would reach it; not tried", percent(worst))
+		State: fmt.Sprintf("%s per change with %s hosts not live; %s changes a day",
+			duration(viewTime(s.notLive())), grouped(s.notLive()), grouped(day*s.eventsPerSecond())),
+		Processor: s.eventsPerSecond() * viewTime(s.notLive()),
+		Mechanism: "only hosts that are not live in one of the two views are looked up (route)", Basis: Measured,
 	}
 	listeners := Line{
 		Role: Balancer, Scope: Control, Item: "service addresses",
@@ -148,9 +145,10 @@
 		listeners.Limit = "needs an open-file limit above 1,024 and, besides the memory shown, up to 4 MB of receive queue in the kernel per address under load; a list of listeners per balancer bounds both"
 	}
 	relay := Line{
-		Role: Balancer, Scope: Callers, Item: "TCP relay", Basis: NotBuilt,
+		Role: Balancer, Scope: Callers, Item: "TCP relay", Basis: WorkedOut,
+		State:     "2 sockets and 2 goroutines per connection, at most 16,384 connections",
 		Mechanism: "package relay",
-		Limit:     "services of mode TCP are not served",
+		Limit:     "a relayed connection ends with its balancer",
 	}
 	openings := Line{
 		Role: Balancer, Scope: Callers, Item: "new flows",
--- a/internal/capacity/reader.go
+++ b/internal/capacity/reader.go
@@ -55,18 +55,18 @@
 const readPerTarget = 440e-9
 
 func hostsLine(s Size) Line {
-	rate := watchRate(s.eventsPerSecond())
+	rate := min(watchRate(s.eventsPerSecond()), 1/(hostReadEvery*s.processes()))
 	size := hostJSON * s.processes()
 	l := Line{
 		Role: Reader, Scope: Control, Item: "host list",
 		State:    fmt.Sprintf("one value of %s", amount(size, "B")),
-		Messages: rate, Reads: rate * s.readers(), Bytes: s.eventsPerSecond() * size,
-		Mechanism: "watch of each reader (confsync, platform), whole list each time", Basis: WorkedOut,
+		Messages: rate, Reads: rate * s.readers(), Bytes: rate * size,
+		Mechanism: "watch of each reader (confsync, platform), whole list each time, paced by its size", Basis: WorkedOut,
 	}
 	if size > valueLimit {
 		l.Basis = NotBuilt
 		l.Bytes = 0
-		l.Limit = fmt.Sprintf("larger than a value of 1 MB, so that the client refuses it and no process of the fleet learns the hosts; it would also be %s/s at each reader. Parts with an index, as for the configuration, and about %s hosts each would reach it", amount(s.eventsPerSecond()*size, "B"), grouped(math.Floor(budgetBytes/2/max(s.eventsPerSecond(), 1/day)/hostJSON)))
+		l.Limit = "larger than a value of 1 MB, so that the client refuses it and no process of the fleet learns the hosts; parts with an index, as for the configuration, would reach it"
 	} else if l.Bytes > budgetBytes {
 		l.Limit = overBytes(l.Bytes)
 	}
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -64,9 +64,11 @@
 	// than linear; this is the value at 51,000 targets, with a real host view.
 	viewPerTarget  = 87e-9
 	routePerTarget = 667e-9
-	// hostsPerTarget is the time of a balancer for a change of the host view,
-	// seconds per target.
-	hostsPerTarget = 497e-9
+	// changedHost is the time of a balancer for a change of the host view, seconds
+	// for each host that is not live in one of the two views.
+	changedHost = 0.25e-6
+	// restartSeconds is the assumed time for which a restarted process is not live.
+	restartSeconds = 30.0
 	// collectionPerByte is the processor time of a garbage collection, seconds
 	// per byte of live heap. Measured values were 0.7e-9 to 1.5e-9.
 	collectionPerByte = 1e-9
@@ -130,15 +132,16 @@
 // Figures of the mechanisms. Those that the packages named do not export are
 // copies and must follow them.
 const (
-	exchangePeers  = 2      // confsync: peers a second
-	probers        = 3      // membership: per process, one probe a second each
-	announceProbes = 16     // membership: probes between repeated announcements
-	checkPeers     = 16     // membership: probed in addition while a probe is lost
-	doubtShare     = 0.30   // membership
-	eventRate      = 10_240 // membership: bytes/s of events that a process sends
-	eventBurst     = 16_384 // membership: bytes
-	batchEvents    = 48     // membership: events in a batch
-	ticksPerSecond = 10     // control: most changes of the host view a second
+	exchangePeers  = 2     // confsync: peers a second
+	probers        = 3     // membership: per process, one probe a second each
+	announceProbes = 16    // membership: probes between repeated announcements
+	checkPeers     = 16    // membership: probed in addition while a probe is lost
+	doubtShare     = 0.50  // membership
+	hostReadEvery  = 11e-3 // confsync: seconds between reads of the host list, per host
+	eventRate      = 8_192 // membership: bytes/s of events that a process sends
+	eventBurst     = 4_096 // membership: bytes
+	batchEvents    = 18    // membership: events in a batch
+	ticksPerSecond = 10    // control: most changes of the host view a second
 	fanOut         = hostlist.FanOut
 	readersPerZone = hostlist.ReadersPerZone
 	bulkRate       = 2 << 20
--- a/internal/membership/verdict.go
+++ b/internal/membership/verdict.go
@@ -169,8 +169,9 @@
 	// doubtWindow is the time within which peers must appear dead together.
 	doubtWindow = 10 * time.Second
 	// doubtPercent of the probed peers appearing dead make the process doubt its
-	// own link; doubtMinimum keeps one failure in a fleet of three from it.
-	doubtPercent = 30
+	// own link. The loss of one of three zones is 33%, a cut of the own zone at
+	// least 67%; doubtMinimum keeps one failure in a fleet of three from it.
+	doubtPercent = 50
 	doubtMinimum = 2
 	// checkSent probes without any answer make a peer of the check appear dead.
 	checkSent = 2
