Check the settings of a successor before the takeover

Cause: peers and URL of the configuration service were read after the flows had been handed over, so that a wrong address ended the running agent and lost its flows. Change: they are checked first, with everything else that needs no socket. Figures: TestTakeoverKeepsTheSourcePort without the change: the flow goes to the other backend server; with it, the source port stays. Conclusion: wrong settings of a successor harm nothing.

--- a/internal/cli/daemons_test.go
+++ b/internal/cli/daemons_test.go
@@ -52,7 +52,7 @@
 
 // Guards against an upgrade of an agent that the backend server notices, against a
 // predecessor that ends with an error, and against a successor with the wrong
-// target that ends the running agent.
+// target, or with a peer that is no address, that ends the running agent.
 func TestTakeoverKeepsTheSourcePort(t *testing.T) {
 	x := newTrial(t)
 	agents, _ := x.startAll()
@@ -63,6 +63,12 @@
 	x.Check(wrong.line("target"), qt.Matches, ".*serves target 2, the successor target 1")
 	x.Check(flow.backend("127.0.0.1:7020"), qt.Equals, at)
 
+	x.edit("agent2.toml", "peers = [", "peers = [\"nonsense\", ")
+	x.edit("agent2.toml", "target = 2", "target = 2\ntakeover_address = \""+x.replace(agent2)+"\"")
+	wrong = x.start("agent", "--settings", "agent2.toml")
+	x.Check(wrong.exit(), qt.Not(qt.Equals), exitOK)
+	x.Check(flow.backend("127.0.0.1:7020"), qt.Equals, at)
+
 	successor := x.start("agent", "--settings", "agent2-upgrade.toml")
 	successor.line("name=process_ready")
 	x.Check(agents[1].exit(), qt.Equals, exitOK)
@@ -111,6 +117,7 @@
 	for range 10 {
 		x.Check(x.openPlain().backend("127.0.0.1:7010"), qt.Matches, "shop1 .*")
 	}
+	agents[0].line("name=flow_opened_out_of_order count=")
 	x.start("agent", "--settings", "agent2.toml")
 	balancers[0].line("name=host_back failed_host=storefront2")
 	x.openAt("shop2", "127.0.0.1:7010")
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -43,6 +43,8 @@
 	logger   *telemetry.Logger
 	metrics  *telemetry.Metrics
 	tracer   *telemetry.Tracer
+	client   *platform.Client
+	peers    []netip.AddrPort
 	store    *config.Store
 	control  *control.Control
 	stage    *lifecycle.Machine
@@ -60,6 +62,8 @@
 	lastLimit  time.Duration
 }
 
+// newProcess checks everything that needs no socket, so that an agent with wrong
+// settings ends before it takes flows over.
 func newProcess(role schema.Role, s *schema.CommonSettings, logger *telemetry.Logger) (*process, error) {
 	p := &process{
 		role:     role,
@@ -68,11 +72,16 @@
 		metrics:  telemetry.NewMetrics(role, s.GetHost()),
 		store:    config.NewStore(storeWindow),
 	}
-	tracer, err := telemetry.NewTracer(s.GetTrace(), p.metrics.Name())
-	if err != nil {
+	var err error
+	if p.client, err = platform.NewClient(s.GetConfigUrl()); err != nil {
+		return nil, err
+	}
+	if p.peers, err = addresses(s.GetPeers()); err != nil {
+		return nil, err
+	}
+	if p.tracer, err = telemetry.NewTracer(s.GetTrace(), p.metrics.Name()); err != nil {
 		return nil, err
 	}
-	p.tracer = tracer
 	p.stage = lifecycle.New(func(_, to lifecycle.State) { p.onStage(to) })
 	return p, nil
 }
@@ -87,21 +96,14 @@
 
 // connect builds the control plane over the frame socket of the role.
 func (p *process) connect(socket *tunnel.Socket, target uint32, incarnation uint64, h hooks) error {
-	client, err := platform.NewClient(p.settings.GetConfigUrl())
-	if err != nil {
-		return err
-	}
-	peers, err := addresses(p.settings.GetPeers())
-	if err != nil {
-		return err
-	}
+	var err error
 	p.control, err = control.New(control.Settings{
 		Host:        p.settings.GetHost(),
 		Target:      target,
 		Incarnation: incarnation,
-		Peers:       peers,
+		Peers:       p.peers,
 		Store:       p.store,
-		Platform:    p.watch(client),
+		Platform:    p.watch(p.client),
 		Send:        func(to netip.AddrPort, f *schema.Frame) { p.send(socket, to, f) },
 		OnConfig:    func(s *config.Snapshot) { p.onConfig(s, h.config) },
 		OnView:      func(v *membership.View) { p.onView(v); h.view(v) },
