Write the events 400 and 401 and their metrics

Cause: flow_opened_out_of_order, handover_query_timeout, flows_out_of_order and query_timeouts were in the catalogues and never written.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -85,6 +85,7 @@
 	requests  map[uint64]context.CancelFunc
 	returns   *returns
 	refusals  refusals
+	handovers handovers
 	// trace is the traceparent of the caller packet that is being handled.
 	trace string
 	// predecessor is what the agent takes over; nil without one.
@@ -247,6 +248,7 @@
 	a.runOffer(a.offers.Tick(now))
 	a.returns.expire(now)
 	a.updateGauges()
+	a.reportHandovers(now)
 }
 
 // noticePause voids offers and held packets when the process was not running
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -52,6 +52,7 @@
 	key := d.Packet.Key
 	if d.Opened {
 		a.openBackend(key)
+		a.noteOpened(key)
 	}
 	b := a.backends[key]
 	if b == nil {
