--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -10,55 +11,21 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/peridotstall/peridotstall/internal/daemon"
-	"github.com/peridotstall/peridotstall/internal/route"
-	"github.com/peridotstall/peridotstall/internal/schema"
-	"github.com/peridotstall/peridotstall/internal/settings"
-	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall"
 )
 
-// daemonProcess is a running role.
-type daemonProcess interface {
-	Ended() <-chan error
-	Stop(ctx context.Context, reason string) (cut int)
-}
-
 func newBalancer() *cobra.Command {
-	return roleCommand("balancer", "Run a balancer on an entry host",
-		func(path string) (daemonProcess, error) {
-			s, err := settings.LoadBalancer(path)
-			if err != nil {
-				return nil, withStatus(exitSettings, err)
-			}
-			logger, err := newLogger(s.GetCommon())
-			if err != nil {
-				return nil, err
-			}
-			return daemon.StartBalancer(s, logger, route.Candidates)
-		})
+	return roleCommand("balancer", "Run a balancer on an entry host", peridotstall.StartBalancer)
 }
 
 func newAgent() *cobra.Command {
-	return roleCommand("agent", "Run the agent beside a backend server",
-		func(path string) (daemonProcess, error) {
-			s, err := settings.LoadAgent(path)
-			if err != nil {
-				return nil, withStatus(exitSettings, err)
-			}
-			logger, err := newLogger(s.GetCommon())
-			if err != nil {
-				return nil, err
-			}
-			return daemon.StartAgent(s, logger, daemon.AgentOptions{})
-		})
+	return roleCommand("agent", "Run the agent beside a backend server", peridotstall.StartAgent)
 }
 
-func newLogger(common *schema.CommonSettings) (*telemetry.Logger, error) {
-	logger, err := telemetry.NewLogger(os.Stderr, common.GetLog())
-	return logger, withStatus(exitSettings, err)
-}
+// starter starts a role from a settings file and logs to a writer.
+type starter func(settingsFile string, w io.Writer) (peridotstall.Process, error)
 
-func roleCommand(name, short string, start func(path string) (daemonProcess, error)) *cobra.Command {
+func roleCommand(name, short string, start starter) *cobra.Command {
 	var path string
 	command := &cobra.Command{
 		Use:   name + " --settings FILE",
@@ -71,7 +38,11 @@
 		Example: "  peridotstall " + name + " --settings /etc/peridotstall/" + name + ".toml",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			process, err := start(path)
+			process, err := start(path, os.Stderr)
+			var wrong *peridotstall.SettingsError
+			if errors.As(err, &wrong) {
+				return withStatus(exitSettings, err)
+			}
 			if err != nil {
 				return err
 			}
@@ -84,7 +55,7 @@
 }
 
 // supervise waits for a signal or the end of the process.
-func supervise(ctx context.Context, process daemonProcess) error {
+func supervise(ctx context.Context, process peridotstall.Process) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -100,7 +71,7 @@
 }
 
 // stop ends the process gracefully; a second signal gives the rest up.
-func stop(ctx context.Context, process daemonProcess, first os.Signal, signals <-chan os.Signal) error {
+func stop(ctx context.Context, process peridotstall.Process, first os.Signal, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -73,26 +73,3 @@
 		})
 	}
 }
-
-// BenchmarkChange measures what a balancer does for a change of the
-// configuration and for a change of the view of the hosts.
-func BenchmarkChange(b *testing.B) {
-	usable := func(string) bool { return true }
-	for _, targets := range []int{5_100, 17_000, 51_000} {
-		s, err := config.NewSnapshot(sizedConfig(targets))
-		if err != nil {
-			b.Fatal(err)
-		}
-		table := New(s, usable, Candidates)
-		b.Run(fmt.Sprintf("config/%d", targets), func(b *testing.B) {
-			for b.Loop() {
-				keep = New(s, usable, Candidates)
-			}
-		})
-		b.Run(fmt.Sprintf("hosts/%d", targets), func(b *testing.B) {
-			for b.Loop() {
-				keep = table.WithHosts(usable)
-			}
-		})
-	}
-}
--- a/internal/route/view_test.go
+++ b/internal/route/view_test.go
@@ -12,7 +12,8 @@
 	"github.com/peridotstall/peridotstall/internal/schema"
 )
 
-// BenchmarkChangeWithView measures the same as BenchmarkChange with the view of
+// BenchmarkChangeWithView measures what a balancer does for a change of the
+// configuration and of the view of the hosts, with the view of
 // a host list that has a host for each target, in place of a view that answers
 // at once.
 func BenchmarkChangeWithView(b *testing.B) {
