--- a/internal/membership/measure_test.go
+++ b/internal/membership/measure_test.go
@@ -13,8 +13,8 @@
 	"github.com/peridotstall/peridotstall/internal/schema"
 )
 
-// letter is a frame on its way.
-type letter struct {
+// delivery is a frame on its way.
+type delivery struct {
 	at    time.Time
 	from  netip.AddrPort
 	to    int
@@ -41,21 +41,21 @@
 	}
 	lost := hosts.Zone(1)
 	dead := map[netip.AddrPort]bool{}
-	var mail []letter
+	var queue []delivery
 	for _, at := range lost {
 		h := hosts.At(int(at))
 		dead[h.Addr] = true
 		data := encodeBatch([]queued{{event: event{id: h.ID, incarnation: 1 << 40, sequence: 2, state: schema.HostState_DEAD}}})
 		frame := &schema.Frame{Hops: hopInjected, Body: &schema.Frame_ConfigChunk{ConfigChunk: &schema.ConfigChunk{Count: 1, Data: data}}}
-		mail = append(mail, letter{at: epoch.Add(time.Duration(rng.Int64N(int64(time.Second)))), to: rng.IntN(len(detectors)), frame: frame})
+		queue = append(queue, delivery{at: epoch.Add(time.Duration(rng.Int64N(int64(time.Second)))), to: rng.IntN(len(detectors)), frame: frame})
 	}
 	bytes := make([][]float64, len(detectors))
 	var cpu time.Duration
 	complete, finished := 0.0, 0
 	for now := epoch; now.Sub(epoch) < 20*time.Second; now = now.Add(100 * time.Millisecond) {
 		second := int(now.Sub(epoch) / time.Second)
-		var next []letter
-		slices.SortStableFunc(mail, func(a, b letter) int { return a.at.Compare(b.at) })
+		var next []delivery
+		slices.SortStableFunc(queue, func(a, b delivery) int { return a.at.Compare(b.at) })
 		run := func(i int, actions []Action) {
 			for _, a := range actions {
 				s, ok := a.(Send)
@@ -64,11 +64,11 @@
 				}
 				bytes[i][second] += float64(proto.Size(s.Frame) + 28)
 				if j, ok := number[s.To]; ok {
-					next = append(next, letter{at: now.Add(time.Millisecond), from: hosts.At(int(members[i])).Addr, to: j, frame: s.Frame})
+					next = append(next, delivery{at: now.Add(time.Millisecond), from: hosts.At(int(members[i])).Addr, to: j, frame: s.Frame})
 				} else if p := s.Frame.GetProbe(); p != nil && !dead[s.To] {
 					peer := hosts.At(hosts.ByID(idAt(hosts, s.To)))
 					reply := &schema.ProbeReply{Sequence: p.Sequence, Incarnation: 1 << 40, State: schema.HostState_LIVE, From: peer.Name}
-					next = append(next, letter{at: now.Add(time.Millisecond), from: s.To, to: i, frame: &schema.Frame{Body: &schema.Frame_ProbeReply{ProbeReply: reply}}})
+					next = append(next, delivery{at: now.Add(time.Millisecond), from: s.To, to: i, frame: &schema.Frame{Body: &schema.Frame_ProbeReply{ProbeReply: reply}}})
 				}
 			}
 		}
@@ -77,8 +77,8 @@
 				bytes[i] = append(bytes[i], 0)
 			}
 		}
-		waiting := mail[:0]
-		for _, l := range mail {
+		waiting := queue[:0]
+		for _, l := range queue {
 			if l.at.After(now) {
 				waiting = append(waiting, l)
 				continue
@@ -102,7 +102,7 @@
 		if finished == len(detectors) && complete == 0 {
 			complete = now.Sub(epoch).Seconds()
 		}
-		mail = append(waiting, next...)
+		queue = append(waiting, next...)
 	}
 	worst, mean := 0.0, 0.0
 	for i := range bytes {
