Script failures of the configuration; choose a port that is free for UDP and TCP

Cause: failures of the configuration service were tested in Go only. Command: go test -run ConfigurationScripts ./internal/control

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -105,7 +105,7 @@
 
 // New binds the frame socket.
 func New(o Options) (*Agent, error) {
-	socket, err := tunnel.Listen(o.Settings.GetCommon().GetControlAddress(), o.Metrics)
+	socket, streams, err := bind(o)
 	if err != nil {
 		return nil, err
 	}
@@ -114,6 +114,7 @@
 	a := &Agent{
 		options:  o,
 		tunnel:   socket,
+		streams:  streams,
 		client:   newBackendClient(),
 		hosts:    Hosts{Usable: always, Dead: never},
 		lastTick: time.Now(),
@@ -122,9 +123,8 @@
 		requests: map[uint64]context.CancelFunc{},
 		returns:  newReturns(),
 	}
-	if err := a.listenStreams(); err != nil {
-		socket.Close()
-		return nil, err
+	if streams != nil {
+		a.relay = a.newRelay()
 	}
 	return a, nil
 }
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/netip"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,26 +13,44 @@
 	"github.com/peridotstall/peridotstall/internal/relay"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/internal/tunnel"
 )
 
 // maxStreams bounds the relayed connections of an agent; the connections of the
 // target are a lower limit in most configurations.
 const maxStreams = 16384
 
-// listenStreams binds the TCP port with the number of the frame socket, when
-// the backend server takes connections.
-func (a *Agent) listenStreams() error {
-	backend := a.options.Settings.GetBackendTcp()
-	if backend == "" {
-		return nil
-	}
-	listener, err := net.Listen("tcp", a.tunnel.Local().String())
-	if err != nil {
-		return errors.Wrapf(err, "bind TCP address %s", a.tunnel.Local())
+// bindTries bounds the attempts to find a port that is free for UDP and TCP, when
+// the system chooses it.
+const bindTries = 32
+
+// bind binds the frame socket and, when the backend server takes connections,
+// the TCP port of the same number.
+func bind(o Options) (*tunnel.Socket, net.Listener, error) {
+	address := o.Settings.GetCommon().GetControlAddress()
+	chosen := strings.HasSuffix(address, ":0")
+	for try := 1; ; try++ {
+		socket, err := tunnel.Listen(address, o.Metrics)
+		if err != nil {
+			return nil, nil, err
+		}
+		if o.Settings.GetBackendTcp() == "" {
+			return socket, nil, nil
+		}
+		streams, err := net.Listen("tcp", socket.Local().String())
+		if err == nil {
+			return socket, streams, nil
+		}
+		socket.Close()
+		if !chosen || try == bindTries || !errors.Is(err, syscall.EADDRINUSE) {
+			return nil, nil, errors.Wrapf(err, "bind TCP address %s", socket.Local())
+		}
 	}
-	a.streams = listener
-	a.relay = relay.NewAgent(relay.AgentSettings{
-		Backend:        backend,
+}
+
+func (a *Agent) newRelay() *relay.Agent {
+	return relay.NewAgent(relay.AgentSettings{
+		Backend:        a.options.Settings.GetBackendTcp(),
 		Admit:          a.admitStream,
 		Release:        a.releaseStream,
 		Serves:         a.servesStream,
@@ -39,7 +59,6 @@
 		Metrics:        a.options.Metrics,
 		Tracer:         a.options.Tracer,
 	})
-	return nil
 }
 
 func (a *Agent) serveStreams() {
--- /dev/null
+++ b/internal/control/script_test.go
@@ -0,0 +1,209 @@
+package control
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// scriptTB keeps newFleet from making the surrounding test parallel.
+type scriptTB struct{ testing.TB }
+
+// scriptState is the fleet of one script.
+type scriptState struct {
+	t     testing.TB
+	fleet *fleet
+}
+
+// scriptCommands are the words of the scripts; docs/scenarios.md explains them.
+var scriptCommands = map[string]func(s *scriptState, args []string) error{
+	"fleet":   (*scriptState).start,
+	"service": (*scriptState).service,
+	"publish": (*scriptState).publish,
+	"await":   (*scriptState).await,
+	"advance": (*scriptState).advance,
+	"crash":   func(s *scriptState, args []string) error { return s.each(args, func(p *proc) { p.up = false }) },
+	"start":   func(s *scriptState, args []string) error { return s.each(args, s.restart) },
+	"pause":   func(s *scriptState, args []string) error { return s.each(args, func(p *proc) { p.paused = true }) },
+	"resume":  func(s *scriptState, args []string) error { return s.each(args, func(p *proc) { p.paused = false }) },
+	"split":   (*scriptState).split,
+	"heal":    func(s *scriptState, _ []string) error { s.fleet.cut = nil; return nil },
+	"expect":  (*scriptState).expect,
+}
+
+// Each script in testdata guards against the failure that its first line names.
+func TestConfigurationScripts(t *testing.T) {
+	commands := map[string]func(ts *testscript.TestScript, neg bool, args []string){}
+	for name, command := range scriptCommands {
+		commands[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			err := command(ts.Value("fleet").(*scriptState), args)
+			if (err != nil) != neg {
+				ts.Fatalf("%s %s: %v", name, strings.Join(args, " "), err)
+			}
+		}
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:  "testdata",
+		Cmds: commands,
+		Setup: func(env *testscript.Env) error {
+			env.Values["fleet"] = &scriptState{t: t}
+			return nil
+		},
+	})
+}
+
+// start SIZE ZONES SEED starts a fleet and waits until it serves.
+func (s *scriptState) start(args []string) error {
+	n, err := integers(args, 3)
+	if err != nil {
+		return err
+	}
+	s.fleet = newFleet(scriptTB{s.t}, uint64(n[2]), n[0], n[1])
+	s.fleet.startAll()
+	return nil
+}
+
+func integers(args []string, count int) ([]int, error) {
+	if len(args) != count {
+		return nil, fmt.Errorf("%d arguments, want %d", len(args), count)
+	}
+	var list []int
+	for _, arg := range args {
+		n, err := strconv.Atoi(arg)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, n)
+	}
+	return list, nil
+}
+
+// restart starts a process with two configured peers, as daemons have them.
+func (s *scriptState) restart(p *proc) {
+	p.start(s.fleet.procs[0].addr, s.fleet.procs[1].addr)
+}
+
+// service up|down|stale: a stale service answers with the configuration that is
+// published now, whatever is published later.
+func (s *scriptState) service(args []string) error {
+	service := &s.fleet.service
+	switch args[0] {
+	case "up":
+		service.up = true
+		delete(service.staleTo, "*")
+		service.wake()
+	case "down":
+		service.up = false
+	case "stale":
+		service.stale = service.config
+		service.staleTo["*"] = true
+	default:
+		return fmt.Errorf("unknown state %q", args[0])
+	}
+	return nil
+}
+
+// publish [N] publishes the next revision or several.
+func (s *scriptState) publish(args []string) error {
+	n := 1
+	if len(args) == 1 {
+		var err error
+		if n, err = strconv.Atoi(args[0]); err != nil {
+			return err
+		}
+	}
+	for range n {
+		s.fleet.service.publish()
+	}
+	return nil
+}
+
+// await REVISION LIMIT waits until a revision is in force at all running processes.
+func (s *scriptState) await(args []string) error {
+	revision, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil {
+		return err
+	}
+	limit, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	if took := s.fleet.until(limit, s.fleet.everywhere(revision)); took > limit {
+		return fmt.Errorf("revision %d is not in force everywhere after %v", revision, limit)
+	}
+	return nil
+}
+
+func (s *scriptState) advance(args []string) error {
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	s.fleet.run(d)
+	return nil
+}
+
+// each runs f for processes by number, "all", or a range as "0-9".
+func (s *scriptState) each(args []string, f func(p *proc)) error {
+	for _, arg := range args {
+		first, last, isRange := strings.Cut(arg, "-")
+		if arg == "all" {
+			first, last, isRange = "0", strconv.Itoa(len(s.fleet.procs)-1), true
+		}
+		if !isRange {
+			last = first
+		}
+		n, err := integers([]string{first, last}, 2)
+		if err != nil {
+			return err
+		}
+		for _, p := range s.fleet.procs[n[0] : n[1]+1] {
+			f(p)
+		}
+	}
+	return nil
+}
+
+// split N cuts the first N processes off from the others.
+func (s *scriptState) split(args []string) error {
+	n, err := integers(args, 1)
+	if err != nil {
+		return err
+	}
+	inside := map[*proc]bool{}
+	for _, p := range s.fleet.procs[:n[0]] {
+		inside[p] = true
+	}
+	s.fleet.cut = func(from, to *proc) bool { return inside[from] != inside[to] }
+	return nil
+}
+
+// expect kept | ready N | waiting N
+func (s *scriptState) expect(args []string) error {
+	if args[0] == "kept" {
+		if s.fleet.lowered != "" {
+			return fmt.Errorf("a revision went down: %s", s.fleet.lowered)
+		}
+		return nil
+	}
+	want, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	counts := map[string]int{"ready": 0, "waiting": 0}
+	for _, p := range s.fleet.procs {
+		if p.up && p.isReady {
+			counts["ready"]++
+		} else if p.up {
+			counts["waiting"]++
+		}
+	}
+	if counts[args[0]] != want {
+		return fmt.Errorf("%d processes are %s, want %d", counts[args[0]], args[0], want)
+	}
+	return nil
+}
--- a/internal/pathtest/stream_test.go
+++ b/internal/pathtest/stream_test.go
@@ -59,9 +59,15 @@
 	// Both targets drain: the open connection stays, a new one is refused.
 	f.agents[0].SetDraining(true)
 	f.agents[1].SetDraining(true)
-	second := open()
-	_, err = io.ReadAll(second)
-	f.c.Check(second, qt.IsNotNil)
+	// The balancer resets the connection, which the caller may see when it dials.
+	second, err := net.Dial("tcp", address)
+	if err == nil {
+		defer second.Close()
+		f.c.Assert(second.SetDeadline(time.Now().Add(waitLimit)), qt.IsNil)
+		var data []byte
+		data, err = io.ReadAll(second)
+		f.c.Check(data, qt.HasLen, 0)
+	}
 	f.c.Check(f.metrics[0].Errors(schema.ErrorKind_REFUSED_DRAINING)+
 		f.metrics[1].Errors(schema.ErrorKind_REFUSED_DRAINING) >= 2, qt.IsTrue, qt.Commentf("%v", err))
 
