Fuzz the remaining decoders

Cause: decoders of the platform's answers, of peers' frames, of packed events and of the relay's preamble had no fuzz target.

--- a/internal/relay/preamble.go
+++ b/internal/relay/preamble.go
@@ -30,7 +30,7 @@
 }
 
 // readFrame reads one frame and nothing beyond it.
-func readFrame(c *net.TCPConn) (*schema.Frame, error) {
+func readFrame(c io.Reader) (*schema.Frame, error) {
 	var length [2]byte
 	if _, err := io.ReadFull(c, length[:]); err != nil {
 		return nil, errors.Wrap(err, "read preamble")
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -70,3 +70,25 @@
 		})
 	})
 }
+
+// Guards against a short look at the token that names another target than the
+// whole packet does.
+func FuzzTokenTarget(f *testing.F) {
+	data, err := wire.EncodeCaller(&schema.CallerPacket{
+		RequestId: 7,
+		Token:     &schema.Token{Target: 5, Incarnation: 9, Sequence: 1},
+		Body:      &schema.CallerPacket_Ping{Ping: &schema.Ping{Sequence: 1}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0x12, 0x02, 0x08, 0x05})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		target, ok := wire.TokenTarget(data)
+		p, err := wire.DecodeCaller(data)
+		if err == nil && ok && p.GetToken() == nil {
+			t.Fatalf("target %d of a packet without token", target)
+		}
+	})
+}
