--- a/internal/scenario/script.go
+++ b/internal/scenario/script.go
@@ -12,6 +12,9 @@
 	"github.com/peridotstall/peridotstall/internal/schema"
 )
 
+// settleTime is above the window in which agents ask others after their start.
+const settleTime = 20 * time.Second
+
 // Script carries out the commands of one script.
 type Script struct {
 	world *world
@@ -110,7 +113,7 @@
 	if err := f.start(n["targets"], n["balancers"]); err != nil {
 		return "", err
 	}
-	s.world.advance(10 * time.Second)
+	s.world.advance(settleTime)
 	return fmt.Sprintf("seed %d", s.seed), nil
 }
 
