Measure the imbalance of plain flows at 80% load

Change: a test with 20 hash keys at 80% of the connections. Command: go test -v -run Eighty ./internal/placement

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -125,3 +125,37 @@
 		})
 	}
 }
+
+// maxImbalance is the stated bound for the largest use of a target over the mean,
+// by capacity, at 80% load.
+const maxImbalance = 1.15
+
+// Guards against plain flows that load some targets far above their capacity: they
+// stay where they were placed, so that placement alone must spread them.
+func TestFlowsAreBalancedAtEightyPercent(t *testing.T) {
+	const connections = 2000
+	for seed := range 20 {
+		list := targets(7, func(i int) uint32 { return []uint32{100, 200, 100, 400, 200, 100, 200}[i] })
+		tab := NewTable(1, [16]byte{byte(seed), 9}, []ServiceTargets{{Service: 1, Targets: list}})
+		total := uint32(0)
+		for _, target := range list {
+			total += target.Weight
+		}
+		// A target of ordinary speed holds 80% of its connections.
+		flows := connections * 8 / 10 * int(total) / 100
+		counts := map[uint32]int{}
+		for i := range flows {
+			id, _ := tab.First(1, tab.Hash(key(i*131)))
+			counts[id]++
+		}
+		largest := 0.0
+		for _, target := range list {
+			use := float64(counts[target.ID]) / float64(target.Weight)
+			largest = max(largest, use/(float64(flows)/float64(total)))
+		}
+		t.Logf("hash key %d: %d flows, imbalance %.3f", seed, flows, largest)
+		if largest > maxImbalance {
+			t.Errorf("hash key %d: imbalance %.3f, bound %.2f", seed, largest, maxImbalance)
+		}
+	}
+}
