Fix the seeds of property tests in one place

A seed on the command line now wins in all packages, and files of earlier failures are never written or run again.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -1,10 +1,7 @@
 package admission
 
 import (
-	"flag"
-	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,19 +10,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/testseed"
 )
 
-// TestMain fixes the seed of the property tests.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-		fmt.Printf("%s=%s\n", name, value)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m, "20260") }
 
 var epoch = time.Unix(1_000_000, 0)
 
--- a/internal/offer/joined_test.go
+++ b/internal/offer/joined_test.go
@@ -2,26 +2,20 @@
 
 import (
 	"flag"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/peridotstall/peridotstall/internal/testseed"
 )
 
 // fixedSeed makes every run of the properties draw the same scenarios.
 const fixedSeed = "20261204"
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", fixedSeed)
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Main(m, fixedSeed) }
 
 // lossy is a link that loses, duplicates and reorders, between agents that are
 // short of room, restart, pause and drain.
