Take work off the path of answers and join twin pieces

Cause: for every answer an agent searched the list of live balancers, 6,000 at the target size, and a balancer waited for the lock that a change of the configuration holds while it prepares tables. A socket towards the backend server was opened by two functions, the receiver of control frames was declared twice, and the traceparent of an opening was kept in two places. Change: a set beside the list; listeners in a map that is read without that lock; one dialBackend, one tunnel.Receiver, one traceparent.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,11 +55,6 @@
 	Algorithm admission.Algorithm
 }
 
-// ControlReceiver takes frames of the control protocols.
-type ControlReceiver interface {
-	Receive(from netip.AddrPort, f *schema.Frame)
-}
-
 // Hosts is the agent's view of the fleet.
 type Hosts struct {
 	// Usable reports whether a host may get new flows.
@@ -74,7 +69,7 @@
 type Agent struct {
 	options Options
 	tunnel  *tunnel.Socket
-	control ControlReceiver
+	control tunnel.Receiver
 	client  *http.Client
 
 	mu        sync.Mutex
@@ -83,6 +78,7 @@
 	admission *admission.Controller
 	view      *view
 	hosts     Hosts
+	balancers balancers
 	draining  bool
 	lastTick  time.Time
 	backends  map[placement.Key]*backend
@@ -135,7 +131,7 @@
 }
 
 // SetControl sets the receiver of control frames; call it before Run.
-func (a *Agent) SetControl(c ControlReceiver) {
+func (a *Agent) SetControl(c tunnel.Receiver) {
 	a.control = c
 }
 
@@ -163,6 +159,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.hosts = h
+	a.balancers = newBalancers(h.Balancers)
 	if a.view != nil {
 		a.runFlow(a.flows.SetView(time.Now(), a.flowView()))
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -20,11 +20,17 @@
 	trace string
 }
 
-func dialBackend(address string) (*backend, error) {
+// dialBackend opens a socket towards the backend server. A local address is given
+// for a flow of the predecessor; otherwise the system chooses the port.
+func dialBackend(address string, local netip.AddrPort) (*backend, error) {
 	if address == "" {
 		return nil, errors.New("backend_udp is not set")
 	}
-	conn, err := net.Dial("udp", address)
+	var dialer net.Dialer
+	if local.IsValid() {
+		dialer.LocalAddr = net.UDPAddrFromAddrPort(local)
+	}
+	conn, err := dialer.Dial("udp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "backend server %s", address)
 	}
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/flow"
@@ -72,7 +73,7 @@
 
 func (a *Agent) openBackend(key placement.Key) {
 	a.options.Metrics.FlowsOpened.Inc()
-	b, err := dialBackend(a.options.Settings.GetBackendUdp())
+	b, err := dialBackend(a.options.Settings.GetBackendUdp(), netip.AddrPort{})
 	if err != nil {
 		a.options.Logger.Log(telemetry.BackendUnreachable, "service", key.Service, "error", err)
 		a.runFlow(a.flows.BackendClosed(key))
--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -75,7 +75,6 @@
 			age:    age,
 			hops:   int(f.GetHops()),
 			passed: f.GetPassed(),
-			trace:  span.TraceParent(),
 			data:   data,
 		})
 		a.trace = ""
--- a/internal/agent/overflow.go
+++ b/internal/agent/overflow.go
@@ -19,7 +19,6 @@
 	age    time.Duration
 	hops   int
 	passed []uint32
-	trace  string
 	data   []byte
 	packet *schema.CallerPacket
 }
@@ -91,7 +90,7 @@
 		AgeMs:         uint32(o.age.Milliseconds()),
 		ReturnAddress: o.back.String(),
 		Passed:        append(slices.Clone(o.passed), a.options.Settings.GetTarget()),
-		TraceParent:   o.trace,
+		TraceParent:   a.trace,
 		Body:          &schema.Frame_Packet{Packet: o.data},
 	})
 }
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -205,7 +206,7 @@
 
 // openSession connects a session to the backend server.
 func (a *Agent) openSession(s offer.OpenSession) {
-	b, err := dialBackend(a.options.Settings.GetBackendUdp())
+	b, err := dialBackend(a.options.Settings.GetBackendUdp(), netip.AddrPort{})
 	if err != nil {
 		a.options.Logger.Log(telemetry.BackendUnreachable, "service", s.Key.Service, "error", err)
 		a.runOffer(a.offers.SessionEnded(time.Now(), s.Sequence))
--- a/internal/agent/returns.go
+++ b/internal/agent/returns.go
@@ -3,7 +3,6 @@
 import (
 	"hash/maphash"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/placement"
@@ -57,13 +56,28 @@
 
 var balancerSeed = maphash.MakeSeed()
 
+// balancers are the live balancers, in order and for look-up: every answer asks,
+// and a large fleet has thousands of them.
+type balancers struct {
+	list []netip.AddrPort
+	set  map[netip.AddrPort]bool
+}
+
+func newBalancers(list []netip.AddrPort) balancers {
+	set := make(map[netip.AddrPort]bool, len(list))
+	for _, address := range list {
+		set[address] = true
+	}
+	return balancers{list: list, set: set}
+}
+
 // liveBalancer returns the balancer that was used last, or another one when it
 // is gone. The replacement depends on the address only, so that the packets of
 // one flow keep their order.
 func (a *Agent) liveBalancer(last netip.AddrPort) netip.AddrPort {
-	live := a.hosts.Balancers
-	if len(live) == 0 || slices.Contains(live, last) {
+	live := a.balancers
+	if len(live.list) == 0 || live.set[last] {
 		return last
 	}
-	return live[maphash.Comparable(balancerSeed, last)%uint64(len(live))]
+	return live.list[maphash.Comparable(balancerSeed, last)%uint64(len(live.list))]
 }
--- a/internal/agent/takeover.go
+++ b/internal/agent/takeover.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,7 +72,7 @@
 func (a *Agent) importState(now time.Time, state *rpcapi.Takeover) {
 	var records []flow.Record
 	for _, f := range state.Flows {
-		b, err := a.rebind(f.Local)
+		b, err := dialBackend(a.options.Settings.GetBackendUdp(), f.Local)
 		if err != nil {
 			a.lost(f.Record.Key.Service, err)
 			continue
@@ -103,7 +101,7 @@
 		keys[s.Sequence] = s.Key
 	}
 	for _, s := range state.Sessions {
-		b, err := a.rebind(s.Local)
+		b, err := dialBackend(a.options.Settings.GetBackendUdp(), s.Local)
 		if err != nil {
 			a.lost(keys[s.Sequence].Service, err)
 			a.runOffer(a.offers.SessionEnded(now, s.Sequence))
@@ -114,13 +112,3 @@
 		go b.serve(func(data []byte) { a.sessionOutput(s.Sequence, b, data) })
 	}
 }
-
-// rebind opens a socket towards the backend server with a given local port.
-func (a *Agent) rebind(local netip.AddrPort) (*backend, error) {
-	dialer := net.Dialer{LocalAddr: net.UDPAddrFromAddrPort(local)}
-	conn, err := dialer.Dial("udp", a.options.Settings.GetBackendUdp())
-	if err != nil {
-		return nil, errors.Wrapf(err, "take over local port %d", local.Port())
-	}
-	return &backend{conn: conn}, nil
-}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -40,24 +40,22 @@
 	Policy route.Policy
 }
 
-// ControlReceiver takes frames that are not packets or answers.
-type ControlReceiver interface {
-	Receive(from netip.AddrPort, f *schema.Frame)
-}
-
 // Balancer is one balancer process.
 type Balancer struct {
 	options Options
 	tunnel  *tunnel.Socket
 	routes  atomic.Pointer[route.Table]
-	control ControlReceiver
+	control tunnel.Receiver
+
+	// listeners holds the *listener of each service ID. It is read for every
+	// answer and must not wait for mu, which a change of the configuration holds.
+	listeners sync.Map
 
-	mu        sync.Mutex
-	usable    func(host string) bool
-	listeners map[uint32]*listener
-	relay     *relay.Balancer
-	streams   map[uint32]*streamListener
-	lastCall  atomic.Int64
+	mu       sync.Mutex
+	usable   func(host string) bool
+	relay    *relay.Balancer
+	streams  map[uint32]*streamListener
+	lastCall atomic.Int64
 }
 
 // New binds the frame socket.
@@ -67,11 +65,10 @@
 		return nil, err
 	}
 	b := &Balancer{
-		options:   o,
-		tunnel:    socket,
-		usable:    func(string) bool { return true },
-		listeners: map[uint32]*listener{},
-		streams:   map[uint32]*streamListener{},
+		options: o,
+		tunnel:  socket,
+		usable:  func(string) bool { return true },
+		streams: map[uint32]*streamListener{},
 	}
 	b.relay = relay.NewBalancer(relay.BalancerSettings{
 		Choose:         b.chooseStream,
@@ -89,7 +86,7 @@
 }
 
 // SetControl sets the receiver of control frames; call it before Run.
-func (b *Balancer) SetControl(c ControlReceiver) {
+func (b *Balancer) SetControl(c tunnel.Receiver) {
 	b.control = c
 }
 
@@ -161,10 +158,7 @@
 func (b *Balancer) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, l := range b.listeners {
-		l.conn.Close()
-		delete(b.listeners, id)
-	}
+	b.closeListeners(func(*listener) bool { return true })
 	for id, l := range b.streams {
 		l.listener.Close()
 		delete(b.streams, id)
@@ -203,13 +197,10 @@
 
 // updateListeners opens and closes sockets so that they match the services.
 func (b *Balancer) updateListeners(s *config.Snapshot) {
-	for id, l := range b.listeners {
-		service, ok := s.Service(id)
-		if !ok || service.GetAddress() != l.address {
-			l.conn.Close()
-			delete(b.listeners, id)
-		}
-	}
+	b.closeListeners(func(l *listener) bool {
+		service, ok := s.Service(l.service)
+		return !ok || service.GetAddress() != l.address
+	})
 	for id, l := range b.streams {
 		service, ok := s.Service(id)
 		if !ok || service.GetAddress() != l.address {
@@ -221,7 +212,7 @@
 		switch {
 		case service.GetMode() == schema.Mode_TCP && b.streams[service.GetId()] == nil:
 			b.openStream(service)
-		case service.GetMode() != schema.Mode_TCP && b.listeners[service.GetId()] == nil:
+		case service.GetMode() != schema.Mode_TCP && b.listener(service.GetId()) == nil:
 			b.openListener(service)
 		}
 	}
@@ -244,10 +235,28 @@
 		mode:     service.GetMode(),
 		address:  service.GetAddress(),
 	}
-	b.listeners[l.service] = l
+	b.listeners.Store(l.service, l)
 	go l.serve()
 }
 
+// listener returns the listener of a service, nil when there is none.
+func (b *Balancer) listener(service uint32) *listener {
+	l, _ := b.listeners.Load(service)
+	found, _ := l.(*listener)
+	return found
+}
+
+// closeListeners closes the listeners for which a condition holds.
+func (b *Balancer) closeListeners(condition func(l *listener) bool) {
+	b.listeners.Range(func(service, value any) bool {
+		if l := value.(*listener); condition(l) {
+			l.conn.Close()
+			b.listeners.Delete(service)
+		}
+		return true
+	})
+}
+
 // bindAddress maps a service address to the address that this host binds. With
 // a list in the settings only the listed services are bound.
 func (b *Balancer) bindAddress(service string) string {
@@ -267,8 +276,7 @@
 func (b *Balancer) ListenerAddress(service uint32) (netip.AddrPort, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.listeners[service]
-	if l != nil {
+	if l := b.listener(service); l != nil {
 		return l.conn.Local(), true
 	}
 	if stream := b.streams[service]; stream != nil {
--- a/internal/balancer/listener.go
+++ b/internal/balancer/listener.go
@@ -156,9 +156,7 @@
 		b.options.Metrics.Error(schema.ErrorKind_MALFORMED)
 		return
 	}
-	b.mu.Lock()
-	l := b.listeners[f.GetKey().GetService()]
-	b.mu.Unlock()
+	l := b.listener(f.GetKey().GetService())
 	if l == nil {
 		b.options.Metrics.Error(schema.ErrorKind_UNKNOWN_SERVICE)
 		return
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -16,6 +16,11 @@
 	"github.com/peridotstall/peridotstall/internal/wire"
 )
 
+// Receiver takes the frames of the control protocols.
+type Receiver interface {
+	Receive(from netip.AddrPort, f *schema.Frame)
+}
+
 // Socket is the frame socket of a process.
 type Socket struct {
 	conn    *udp.Conn
