--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -8,6 +8,7 @@
 	"math"
 	"time"
 
+	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
@@ -30,8 +31,9 @@
 	// openingLife is the time for which an accepted opening counts as pending
 	// before its first request: a round trip to the caller and some more.
 	openingLife = 300 * time.Millisecond
-	// generation is the least time for which an idle flow is remembered.
-	generation = 30 * time.Second
+	// generation is the least time for which an idle flow is remembered: the
+	// longest that users let a flow live.
+	generation = 60 * time.Second
 	// maxFlows bounds each generation: the connection limits of targets are
 	// some thousands.
 	maxFlows = 1 << 16
@@ -68,11 +70,15 @@
 	hasData bool
 	// request is the identifier of the last request.
 	request segment.RequestID
-	// sender is the balancer that sent the last segment.
-	sender uint8
+	// counted says that the present request was counted as failed.
+	counted bool
+	// sender is the balancer that sent the last segment, former the one before it.
+	sender, former uint8
 	// accepted says that the target accepted an opening; held that it has the
 	// flow: it sent a segment of it or did not return one.
 	accepted, held bool
+	// ended says that the target or the caller ended the flow.
+	ended bool
 	// wanted says that the sender asked who holds the flow.
 	wanted bool
 	// opening flows are counted as pending until their first request.
@@ -87,10 +93,9 @@
 
 // Tracker follows the flows of one target.
 type Tracker struct {
-	tag        segment.Tag
-	slots      int
-	young, old map[segment.Flow]flowState
-	turned     time.Duration
+	tag   segment.Tag
+	slots int
+	flows *generations.Map[segment.Flow, flowState]
 
 	// openings are the accepted ones in the order of time.
 	openings []acceptedOpening
@@ -104,14 +109,17 @@
 	unanswered time.Duration
 	trial      time.Duration
 	leaving    bool
+
+	failures failures
 }
 
 // New returns a tracker for the target of a service.
 func New(service string) *Tracker {
 	return &Tracker{
 		tag:   segment.TagOf(service),
-		young: make(map[segment.Flow]flowState),
-		old:   make(map[segment.Flow]flowState),
+		flows: generations.New[segment.Flow, flowState](maxFlows),
+
+		failures: failures{patience: defaultPatience},
 	}
 }
 
@@ -121,6 +129,17 @@
 // SetSlots sets the number of requests that the target runs at a time.
 func (t *Tracker) SetSlots(slots int) { t.slots = slots }
 
+// SetPatience sets the time after which a request without an answer counts as
+// failed; 0 leaves it as it is.
+func (t *Tracker) SetPatience(patience time.Duration) {
+	if patience > 0 {
+		t.failures.patience = patience
+	}
+}
+
+// Failing returns the share of the recent requests that failed.
+func (t *Tracker) Failing(now time.Duration) float64 { return t.failures.share(now) }
+
 // Leave makes the tracker refuse openings.
 func (t *Tracker) Leave() { t.leaving = true }
 
@@ -134,7 +153,7 @@
 }
 
 // Flows returns the number of remembered flows.
-func (t *Tracker) Flows() int { return len(t.young) + len(t.old) }
+func (t *Tracker) Flows() int { return t.flows.Len() }
 
 // Unresponsive reports whether the target has stopped to answer.
 func (t *Tracker) Unresponsive(now time.Duration) bool {
@@ -152,24 +171,6 @@
 	t.updated = now
 }
 
-func (t *Tracker) lookup(flow segment.Flow) (flowState, bool) {
-	if s, ok := t.young[flow]; ok {
-		return s, true
-	}
-	s, ok := t.old[flow]
-	if ok {
-		delete(t.old, flow)
-		t.young[flow] = s
-	}
-	return s, ok
-}
-
-func (t *Tracker) store(flow segment.Flow, s flowState) {
-	if _, known := t.young[flow]; known || len(t.young) < maxFlows {
-		t.young[flow] = s
-	}
-}
-
 // counts reports whether the flow is one of the pending ones.
 func (s flowState) counts() bool { return s.asked != 0 || s.opening }
 
@@ -188,7 +189,7 @@
 			t.pending--
 		}
 	}
-	t.store(flow, after)
+	t.flows.Put(flow, after)
 }
 
 // Admit decides whether a segment from a balancer goes to the target.
@@ -228,12 +229,19 @@
 // of the request that begins in it, nil if none does.
 func (t *Tracker) Delivered(now time.Duration, head segment.Head, note segment.Note, sender uint8, request []byte) Delivery {
 	flow := head.FromCaller()
-	s, _ := t.lookup(flow)
+	s, known := t.flows.Get(flow)
 	before := s
+	switch {
+	case !known:
+		s.former = sender
+	case s.sender != sender:
+		s.former = s.sender
+	}
 	s.sender = sender
 	var d Delivery
 	switch {
 	case head.Opening:
+		s.ended = false
 		if t.unanswered == 0 {
 			t.unanswered = now
 		}
@@ -241,15 +249,20 @@
 		if s.asked != 0 {
 			d.Abandoned, d.Request, d.Waited = true, s.request, now-s.asked
 		}
-		s.asked, s.opening = 0, false
+		s.asked, s.opening, s.ended = 0, false, true
 	case head.DataLength > 0 && !s.repeats(head):
 		s.opening = false
 		s.dataEnd, s.hasData = head.DataEnd(), true
 		if s.asked == 0 || !s.held {
-			s.asked = now
+			s.asked, s.counted = now, false
 		}
 		if request != nil {
 			s.request = segment.MakeRequestID(request)
+			t.failures.expect(flow, now)
+		} else {
+			// A request of several segments may lack one that the network lost,
+			// which says nothing about the target.
+			s.counted = true
 		}
 	}
 	if !head.Opening && s.accepted {
@@ -279,11 +292,12 @@
 	Waited time.Duration
 }
 
-// Answered records a segment that the target sent to a caller.
-func (t *Tracker) Answered(now time.Duration, head segment.Head) Answer {
+// Answered records a segment that the target sent to a caller. Failed says that
+// it begins an answer that tells of a failure.
+func (t *Tracker) Answered(now time.Duration, head segment.Head, failed bool) Answer {
 	t.unanswered = 0
 	flow := head.FromTarget()
-	s, known := t.lookup(flow)
+	s, known := t.flows.Get(flow)
 	before := s
 	a := Answer{Sender: s.sender, Request: s.request}
 	switch {
@@ -294,10 +308,16 @@
 		}
 		s.accepted = true
 	case head.Ended || head.Reset:
-		s.asked, s.opening = 0, false
+		if head.Reset && s.asked != 0 {
+			t.failures.record(now, true)
+		}
+		s.asked, s.opening, s.ended = 0, false, true
 	case head.DataLength > 0 && s.asked != 0:
 		a.Waited, a.First = now-s.asked, true
 		s.asked = 0
+		if !s.counted || !failed {
+			t.failures.record(now, failed)
+		}
 	}
 	if !head.Opening && !head.Reset {
 		s.held = true
@@ -313,17 +333,31 @@
 
 // Holds reports whether the target is known to hold a flow.
 func (t *Tracker) Holds(flow segment.Flow) bool {
-	s, known := t.lookup(flow)
+	s, known := t.flows.Get(flow)
 	return known && s.held
 }
 
+// FlowsOf returns at most limit flows that the target holds and that the balancer
+// with the given number sent segments of: the last one, or the one before another
+// balancer took the flow over while it was away.
+func (t *Tracker) FlowsOf(sender uint8, limit int) []segment.Flow {
+	var flows []segment.Flow
+	t.flows.All(func(flow segment.Flow, s flowState) bool {
+		if s.held && !s.ended && (s.sender == sender || s.former == sender) {
+			flows = append(flows, flow)
+		}
+		return len(flows) < limit
+	})
+	return flows
+}
+
 // Returned records a segment that the target handed back.
 func (t *Tracker) Returned(now time.Duration, head segment.Head) {
 	t.unanswered = 0
 	flow := head.FromCaller()
-	s, _ := t.lookup(flow)
+	s, _ := t.flows.Get(flow)
 	t.change(now, flow, s, flowState{})
-	delete(t.young, flow)
+	t.flows.Delete(flow)
 }
 
 // Tick forgets idle flows and openings without a request.
@@ -331,22 +365,23 @@
 	for len(t.openings) > 0 && now-t.openings[0].at >= openingLife {
 		flow := t.openings[0].flow
 		t.openings = t.openings[1:]
-		if s, known := t.lookup(flow); known && s.opening {
+		if s, known := t.flows.Get(flow); known && s.opening {
 			after := s
 			after.opening = false
 			t.change(now, flow, s, after)
 		}
 	}
-	if now-t.turned < generation {
-		return
+	for _, flow := range t.failures.overdue(now) {
+		if s, known := t.flows.Get(flow); known && s.asked != 0 && !s.counted && now-s.asked >= t.failures.patience {
+			s.counted = true
+			t.flows.Put(flow, s)
+			t.failures.record(now, true)
+		}
 	}
-	for _, s := range t.old {
+	t.flows.Turn(now, generation, func(_ segment.Flow, s flowState) {
 		if s.counts() {
 			t.advance(now)
 			t.pending--
 		}
-	}
-	t.old, t.young = t.young, t.old
-	clear(t.young)
-	t.turned = now
+	})
 }
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -28,9 +29,19 @@
 	balancerLife = 3 * time.Second
 	// maxBalancers is what the sender field of a note can name.
 	maxBalancers = 256
+	// flowsPerMessage is the number of flows of 12 bytes that a datagram below the
+	// Ethernet payload of 1,500 bytes holds.
+	flowsPerMessage = 100
+	// maxFlowsTold bounds the flows that a restarted balancer is told: a tenth of
+	// the connection limit of a target.
+	maxFlowsTold = 200
 	// slowAnswer is the time to the first data of an answer from which it is
 	// logged: about the shortest latency objective of the users' routes.
 	slowAnswer = 120 * time.Millisecond
+	// failingAbove and failingBelow are the shares of failed requests at which a
+	// target is logged as failing and as working again: two failures in a row, and
+	// the level at which a balancer uses it before a queue elsewhere.
+	failingAbove, failingBelow = 0.25, 0.1
 	// stopQuiet is how long a stopping agent stays to let balancers choose other
 	// targets for new flows.
 	stopQuiet = 400 * time.Millisecond
@@ -62,6 +73,7 @@
 	outbound *net.UDPConn
 	link     *net.UDPConn
 	metrics  *telemetry.SegmentMetrics
+	out      transmitter
 	backend  atomic.Pointer[netip.AddrPort]
 
 	mu        sync.Mutex
@@ -70,7 +82,8 @@
 	byHost    map[netip.Addr]uint8
 	reported  time.Duration
 	last      *schema.LinkLoad
-	silent    bool
+	// silent and failing are what was last logged of the target.
+	silent, failing bool
 
 	tasks sync.WaitGroup
 	ended chan error
@@ -83,6 +96,7 @@
 		byHost: make(map[netip.Addr]uint8), ended: make(chan error, 3),
 		metrics: telemetry.NewSegmentMetrics("agent/" + options.Host),
 	}
+	a.out = transmitter{options.Logger, a.metrics}
 	a.backend.Store(&options.Backend)
 	for _, s := range []struct {
 		socket  **net.UDPConn
@@ -145,7 +159,7 @@
 	}
 	a.options.Codec.Forwardable(b, note.Pack())
 	a.metrics.Forwarded.Inc()
-	a.write(a.packets, b, *a.backend.Load())
+	a.out.datagram(a.packets, b, *a.backend.Load())
 	if delivery.Tell {
 		a.tellOwner(head.FromCaller(), sender)
 	}
@@ -170,7 +184,7 @@
 			"attempt", note.Attempt, "pending", pending)
 	}
 	a.options.Codec.Return(b, note.Pack())
-	a.write(a.packets, b, to)
+	a.out.datagram(a.packets, b, to)
 }
 
 // sender returns the number of a balancer; the caller holds the lock.
@@ -220,26 +234,29 @@
 		a.returned(now, b, head)
 		return
 	}
+	status := 0
+	if head.DataLength > 0 {
+		status = a.options.Codec.Status(a.options.Codec.Data(b))
+	}
+	failed := status != 0 && status/100 != 2
 	a.mu.Lock()
-	answer := a.tracker.Answered(now, head)
+	answer := a.tracker.Answered(now, head, failed)
 	pending := a.tracker.Pending()
 	a.mu.Unlock()
 	a.metrics.Answered.Inc()
 	to := netip.AddrPortFrom(head.Destination.AddrPort().Addr(), a.options.Packets.Port())
-	a.write(a.packets, b, to)
+	a.out.datagram(a.packets, b, to)
 	if answer.Tell {
 		a.tellOwner(head.FromTarget(), answer.Sender)
 	}
 	if answer.First {
-		a.answered(b, head, answer, pending)
+		a.answered(head, answer, status, failed, pending)
 	}
 }
 
 // answered records the first data of an answer.
-func (a *Agent) answered(b []byte, head segment.Head, answer occupancy.Answer, pending int) {
+func (a *Agent) answered(head segment.Head, answer occupancy.Answer, status int, failed bool, pending int) {
 	a.metrics.Wait.Record(answer.Waited)
-	status := a.options.Codec.Status(a.options.Codec.Data(b))
-	failed := status != 0 && status/100 != 2
 	if failed {
 		a.metrics.Failed.Inc()
 	}
@@ -264,17 +281,7 @@
 		a.options.Logger.Log(telemetry.SegmentReturned, "flow", head.FromCaller().String(), "opening", head.Opening, "balancer", to)
 	}
 	if to.IsValid() {
-		a.write(a.packets, b, to)
-	}
-}
-
-// write sends a segment; a datagram that cannot be sent counts as lost.
-func (a *Agent) write(socket *net.UDPConn, b []byte, to netip.AddrPort) {
-	if _, err := socket.WriteToUDPAddrPort(b, to); err != nil {
-		a.metrics.SendErrors.Inc()
-		if a.options.Logger.Allow(telemetry.SendFailed) {
-			a.options.Logger.Log(telemetry.SendFailed, "to", to, "error", err)
-		}
+		a.out.datagram(a.packets, b, to)
 	}
 }
 
@@ -287,14 +294,7 @@
 		return
 	}
 	encoded := flow.Encode()
-	a.send(&schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: encoded[:]}}}, to)
-}
-
-// send sends a control message; a lost one is repeated by the next event.
-func (a *Agent) send(message *schema.LinkMessage, to netip.AddrPort) {
-	if err := sendLink(a.link, message, to); err != nil && a.options.Logger.Allow(telemetry.SendFailed) {
-		a.options.Logger.Log(telemetry.SendFailed, "to", to, "error", err)
-	}
+	a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: encoded[:]}}}, to)
 }
 
 // control handles a control message.
@@ -323,7 +323,7 @@
 	holds := a.tracker.Holds(flow)
 	a.mu.Unlock()
 	if holds {
-		a.send(&schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: m.Flow}}}, from)
+		a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: m.Flow}}}, from)
 	}
 }
 
@@ -331,9 +331,9 @@
 func (a *Agent) ping(ping *schema.LinkPing, from netip.AddrPort) {
 	now := a.clock.now()
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	if segment.Tag(ping.ServiceTag) == a.tracker.Tag() {
 		a.tracker.SetSlots(int(ping.Slots))
+		a.tracker.SetPatience(time.Duration(ping.PatienceMs) * time.Millisecond)
 	}
 	index, known := a.byHost[from.Addr()]
 	if !known {
@@ -342,6 +342,34 @@
 	}
 	ref := &a.balancers[index]
 	ref.link, ref.pinged, ref.used = from, now, now
+	var flows []segment.Flow
+	if ping.FlowsWanted {
+		flows = a.tracker.FlowsOf(index, maxFlowsTold)
+	}
+	a.mu.Unlock()
+	if ping.FlowsWanted {
+		a.tellFlows(flows, from)
+	}
+}
+
+// tellFlows tells a balancer that was restarted the flows that it had forwarded.
+func (a *Agent) tellFlows(flows []segment.Flow, to netip.AddrPort) {
+	if a.options.Logger.Allow(telemetry.FlowsTold) {
+		a.options.Logger.Log(telemetry.FlowsTold, "balancer", to, "flows", len(flows))
+	}
+	for {
+		part := flows[:min(len(flows), flowsPerMessage)]
+		flows = flows[len(part):]
+		message := &schema.LinkFlows{}
+		for _, flow := range part {
+			encoded := flow.Encode()
+			message.Flows = append(message.Flows, encoded[:]...)
+		}
+		a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Flows{Flows: message}}, to)
+		if len(flows) == 0 {
+			return
+		}
+	}
 }
 
 // tick sends reports and forgets idle flows.
@@ -355,6 +383,7 @@
 		Unresponsive:     a.tracker.Unresponsive(now),
 		Leaving:          a.last.GetLeaving(),
 		UptimeMs:         uint64(now / time.Millisecond),
+		FailingMilli:     uint32(a.tracker.Failing(now) * 1000),
 	}
 	var to []netip.AddrPort
 	if a.due(now, load) {
@@ -367,14 +396,20 @@
 	}
 	changed := load.Unresponsive != a.silent
 	a.silent = load.Unresponsive
+	share := a.tracker.Failing(now)
+	begun, ceased := !a.failing && share > failingAbove, a.failing && share < failingBelow
+	a.failing = begun || a.failing && !ceased
 	a.mu.Unlock()
 	a.metrics.Pending.Set(int64(load.Pending))
 	if changed {
 		a.options.Logger.Log(telemetry.TargetResponds, "responds", !load.Unresponsive, "pending", load.Pending)
 	}
+	if begun || ceased {
+		a.options.Logger.Log(telemetry.TargetFailing, "failing", begun, "share", math.Round(share*100)/100, "pending", load.Pending)
+	}
 	message := &schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: load}}
 	for _, address := range to {
-		a.send(message, address)
+		a.out.message(a.link, message, address)
 	}
 }
 
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -32,6 +32,11 @@
 	meanSegment = 1200
 	// segmentCost is the processor time of forwarding one segment.
 	segmentCost = 25 * time.Microsecond
+	// queryShare is the share of the host's link that queries for the owners of
+	// flows may take, so that they do not crowd out the segments.
+	queryShare = 0.1
+	// querySize is the size of a query in bytes with the headers below it.
+	querySize = 64
 	// maxOwners bounds the owner messages that wait for the forwarding task.
 	maxOwners = 1024
 )
@@ -54,10 +59,16 @@
 	return uint32(min(o.LinkRate/meanSegment, o.Cores/segmentCost.Seconds(), math.MaxUint32))
 }
 
-// owner says that a target holds a flow.
-type owner struct {
-	flow   segment.Flow
+// queryRate returns the number of queries a second that may look for owners.
+func (o *BalancerOptions) queryRate() float64 { return o.LinkRate * queryShare / querySize }
+
+// owners says that a target holds flows.
+type owners struct {
+	flows  []segment.Flow
 	target *steering.Target
+	// recalled says that this balancer forwarded them before it was restarted;
+	// otherwise they answer a search.
+	recalled bool
 }
 
 // Balancer is the process that the fabric hands callers' segments to.
@@ -69,6 +80,7 @@
 	link        *net.UDPConn
 	rpc         net.Listener
 	metrics     *telemetry.SegmentMetrics
+	out         transmitter
 
 	// engine belongs to the forwarding task.
 	engine *steering.Engine
@@ -76,7 +88,7 @@
 	// confirmed says that the view is the newest one.
 	confirmed atomic.Bool
 	doubt     atomic.Bool
-	owners    chan owner
+	owners    chan owners
 	// held are segments whose owner is searched; they belong to the forwarding task.
 	held heldSegments
 	// lastPacket is the time of the last segment of a caller.
@@ -99,10 +111,11 @@
 // StartBalancer starts a balancer.
 func StartBalancer(options BalancerOptions) (*Balancer, error) {
 	b := &Balancer{
-		options: options, clock: newClock(), incarnation: rand.Uint64(), engine: steering.New(options.Zone),
-		owners: make(chan owner, maxOwners), held: newHeldSegments(), registry: registry.New(), ended: make(chan error, 3),
+		options: options, clock: newClock(), incarnation: rand.Uint64(), engine: steering.New(options.Zone, options.queryRate()),
+		owners: make(chan owners, maxOwners), held: newHeldSegments(), registry: registry.New(), ended: make(chan error, 3),
 		metrics: telemetry.NewSegmentMetrics("balancer/"+options.Host, steering.ReasonNames()...),
 	}
+	b.out = transmitter{options.Logger, b.metrics}
 	b.peers = peers.New(b.clock.now(), peers.Self{Address: options.Link, Zone: options.Zone, Capacity: options.capacity()}, options.Seeds)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	var err error
@@ -174,7 +187,7 @@
 	case steering.Forward:
 		for _, t := range verdict.Targets() {
 			b.options.Codec.Forwardable(data, verdict.Note(t))
-			b.write(data, t.Agent)
+			b.out.datagram(b.packets, data, t.Agent)
 		}
 		b.metrics.Forwarded.Inc()
 	case steering.Hold:
@@ -184,7 +197,7 @@
 		b.query(verdict)
 	case steering.Reset:
 		reset := b.options.Codec.Reset(data)
-		b.write(reset, netip.AddrPortFrom(head.Source.AddrPort().Addr(), b.options.Packets.Port()))
+		b.out.datagram(b.packets, reset, netip.AddrPortFrom(head.Source.AddrPort().Addr(), b.options.Packets.Port()))
 		b.metrics.Resets.Inc()
 	}
 	b.logVerdict(now, head, verdict)
@@ -219,22 +232,23 @@
 	b.options.Logger.Log(event, fields...)
 }
 
-// write sends a datagram; one that cannot be sent counts as lost.
-func (b *Balancer) write(data []byte, to netip.AddrPort) {
-	if _, err := b.packets.WriteToUDPAddrPort(data, to); err != nil {
-		b.metrics.SendErrors.Inc()
-		if b.options.Logger.Allow(telemetry.SendFailed) {
-			b.options.Logger.Log(telemetry.SendFailed, "to", to, "error", err)
-		}
-	}
-}
-
 // takeOwners records the owners that agents named.
 func (b *Balancer) takeOwners() {
 	for len(b.owners) > 0 {
 		o := <-b.owners
-		b.engine.Owner(o.flow, o.target)
-		b.release(o.flow, o.target)
+		if o.recalled {
+			o.target.SetRecalled()
+		}
+		for _, flow := range o.flows {
+			if o.recalled {
+				b.engine.Recall(flow, o.target)
+			} else if rounds := b.engine.Owner(flow, o.target); rounds > 0 && b.options.Logger.Allow(telemetry.FlowFound) {
+				b.options.Logger.Log(telemetry.FlowFound, "flow", flow.String(), "target", o.target.Info.ID, "queries", rounds)
+			}
+			if !b.engine.Searching(flow) {
+				b.release(flow, o.target)
+			}
+		}
 	}
 }
 
@@ -244,7 +258,9 @@
 		b.engine.SetView(view)
 	}
 	b.takeOwners()
-	b.engine.Tick(now, b.confirmed.Load())
+	for _, flow := range b.engine.Tick(now, b.confirmed.Load()) {
+		b.held.take(flow)
+	}
 	b.continueSearches(now)
 	if doubted := b.engine.Doubted(); doubted != b.doubt.Swap(doubted) {
 		event := telemetry.OwnLinkDoubted
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -26,6 +26,8 @@
 		b.load(message.GetLoad(), from)
 	case message.GetOwner() != nil:
 		b.owner(message.GetOwner(), from)
+	case message.GetFlows() != nil:
+		b.recall(message.GetFlows(), from)
 	case message.GetDigest() != nil:
 		b.digest(message.GetDigest(), from)
 	}
@@ -42,7 +44,7 @@
 		return
 	}
 	t.Report(b.clock.now(), steering.Report{
-		Pending: m.Pending, MeanPending: float64(m.MeanPendingMilli) / 1000,
+		Pending: m.Pending, MeanPending: float64(m.MeanPendingMilli) / 1000, Failing: float64(m.FailingMilli) / 1000,
 		Unresponsive: m.Unresponsive, Leaving: m.Leaving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
 	})
 }
@@ -58,10 +60,35 @@
 	if t == nil {
 		return
 	}
+	b.passOwners(owners{flows: []segment.Flow{flow}, target: t})
+}
+
+// recall passes the flows that an agent remembers of this balancer on to the
+// forwarding task.
+func (b *Balancer) recall(m *schema.LinkFlows, from netip.AddrPort) {
+	view := b.view.Load()
+	if view == nil {
+		return
+	}
+	t := view.Host(from.Addr())
+	if t == nil || t.Recalled() {
+		return
+	}
+	told := owners{target: t, recalled: true}
+	for rest := m.Flows; len(rest) >= segment.FlowSize; rest = rest[segment.FlowSize:] {
+		if flow, ok := segment.DecodeFlow(rest[:segment.FlowSize]); ok {
+			told.flows = append(told.flows, flow)
+		}
+	}
+	b.passOwners(told)
+}
+
+// passOwners hands the word of an agent to the forwarding task.
+func (b *Balancer) passOwners(o owners) {
 	select {
-	case b.owners <- owner{flow, t}:
+	case b.owners <- o:
 	default:
-		// The next segment of the flow is answered again.
+		// The next segment of the flow, or the next ping, is answered again.
 		b.metrics.Overruns.Inc()
 	}
 }
@@ -136,8 +163,10 @@
 		return
 	}
 	for _, t := range view.Targets() {
-		b.send(&schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{
+		b.out.message(b.link, &schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{
 			Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag),
+			PatienceMs:  uint64(view.Patience(t.Info.Service) / time.Millisecond),
+			FlowsWanted: !t.Recalled(),
 		}}}, b.agentLink(t))
 	}
 }
@@ -169,17 +198,7 @@
 	}
 	message := &schema.LinkMessage{Body: &schema.LinkMessage_Digest{Digest: m}}
 	for _, address := range to {
-		b.send(message, address)
-	}
-}
-
-// send sends a control message; a lost one is repeated at the next interval.
-func (b *Balancer) send(message *schema.LinkMessage, to netip.AddrPort) {
-	if err := sendLink(b.link, message, to); err != nil {
-		b.metrics.SendErrors.Inc()
-		if b.options.Logger.Allow(telemetry.SendFailed) {
-			b.options.Logger.Log(telemetry.SendFailed, "to", to, "error", err)
-		}
+		b.out.message(b.link, message, address)
 	}
 }
 
--- a/internal/segnode/held.go
+++ b/internal/segnode/held.go
@@ -60,7 +60,7 @@
 	encoded := verdict.Flow.Encode()
 	message := &schema.LinkMessage{Body: &schema.LinkMessage_Query{Query: &schema.LinkQuery{Flow: encoded[:]}}}
 	for _, t := range verdict.Agents() {
-		b.send(message, b.agentLink(t))
+		b.out.message(b.link, message, b.agentLink(t))
 	}
 }
 
@@ -69,13 +69,12 @@
 	note := segment.Note{Tag: t.Tag}.Pack()
 	for _, data := range b.held.take(flow) {
 		b.options.Codec.Forwardable(data, note)
-		b.write(data, t.Agent)
+		b.out.datagram(b.packets, data, t.Agent)
 		b.metrics.Forwarded.Inc()
 	}
 }
 
-// continueSearches goes on with searches that no agent answered, and drops the
-// segments of flows that are searched no longer.
+// continueSearches goes on with searches that no agent answered.
 func (b *Balancer) continueSearches(now time.Duration) {
 	for _, flow := range b.engine.Overdue(now) {
 		list := b.held.flows[flow]
@@ -87,16 +86,14 @@
 			continue
 		}
 		verdict := b.engine.Continue(now, flow)
-		if verdict.Action == steering.Query {
-			// The segment is held already.
+		// The segment is held already.
+		switch verdict.Action {
+		case steering.Hold:
+			continue
+		case steering.Query:
 			b.query(&verdict)
 			verdict.Action = steering.Forward
 		}
 		b.carryOut(now, bytes.Clone(list[0]), head, &verdict)
 	}
-	for flow := range b.held.flows {
-		if !b.engine.Searching(flow) {
-			b.held.take(flow)
-		}
-	}
 }
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -126,12 +126,33 @@
 	return errors.As(err, &op) && !errors.Is(err, net.ErrClosed)
 }
 
-// sendLink sends a control message.
-func sendLink(socket *net.UDPConn, message *schema.LinkMessage, to netip.AddrPort) error {
+// transmitter sends datagrams for a process. One that cannot be sent is logged,
+// counted and treated as lost.
+type transmitter struct {
+	logger  *telemetry.Decisions
+	metrics *telemetry.SegmentMetrics
+}
+
+// datagram sends bytes.
+func (t transmitter) datagram(socket *net.UDPConn, b []byte, to netip.AddrPort) {
+	if _, err := socket.WriteToUDPAddrPort(b, to); err != nil {
+		t.failed(to, err)
+	}
+}
+
+// message sends a control message.
+func (t transmitter) message(socket *net.UDPConn, message *schema.LinkMessage, to netip.AddrPort) {
 	b, err := proto.Marshal(message)
 	if err != nil {
-		return errors.Wrap(err, "encode control message")
+		t.failed(to, errors.Wrap(err, "encode control message"))
+		return
+	}
+	t.datagram(socket, b, to)
+}
+
+func (t transmitter) failed(to netip.AddrPort, err error) {
+	t.metrics.SendErrors.Inc()
+	if t.logger.Allow(telemetry.SendFailed) {
+		t.logger.Log(telemetry.SendFailed, "to", to, "error", err)
 	}
-	_, err = socket.WriteToUDPAddrPort(b, to)
-	return errors.Wrap(err, "send control message")
 }
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -1,7 +1,6 @@
 package steering
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -19,6 +18,10 @@
 	remoteCost = 0.2
 	// coldCost is the load in requests per slot that a cold target is charged.
 	coldCost = 0.5
+	// failingCost is the load in requests per slot that a target is charged whose
+	// requests all fail. A target with a tenth of failures is still used when the
+	// others have a request waiting per slot; if all fail alike, none is preferred.
+	failingCost = 10
 	// meanWeight weighs the mean of pending requests against the present count.
 	meanWeight = 1.0
 	// sentWeight weighs openings that the last report does not contain yet.
@@ -40,54 +43,74 @@
 	return x ^ x>>31
 }
 
-// rank orders targets by their rendezvous score for a flow, with the first
-// localChoices of the own zone in front.
-func (e *Engine) rank(flow segment.Flow, services []string, use func(*Target) bool) []ranked {
+// insertTop inserts a target into a list of at most count ones in the order of
+// falling scores.
+func insertTop(list []ranked, r ranked, count int) []ranked {
+	if len(list) < count {
+		list = append(list, r)
+	} else {
+		list[count-1] = r
+	}
+	for i := len(list) - 1; i > 0 && list[i-1].score < r.score; i-- {
+		list[i-1], list[i] = list[i], list[i-1]
+	}
+	return list
+}
+
+// belongs reports whether a score is among the count highest.
+func belongs(list []ranked, score uint64, count int) bool {
+	return len(list) < count || score > list[len(list)-1].score
+}
+
+// rank returns the first count usable targets by their rendezvous score for a
+// flow, with the first localChoices of the own zone in front. The slice is valid
+// until the next call.
+func (e *Engine) rank(flow segment.Flow, services []string, usable func(*Target) bool, count int) []*Target {
 	hash := flow.Hash()
-	list := e.scratch[:0]
+	local, all := e.local[:0], e.all[:0]
 	for _, name := range services {
 		for _, t := range e.view.services[name] {
-			if use(t) {
-				list = append(list, ranked{t, mix(hash ^ t.hash)})
+			r := ranked{t, mix(hash ^ t.hash)}
+			isLocal := t.Info.Zone == e.zone && belongs(local, r.score, localChoices)
+			isFirst := belongs(all, r.score, count)
+			if !isLocal && !isFirst || !usable(t) {
+				continue
+			}
+			if isLocal {
+				local = insertTop(local, r, localChoices)
+			}
+			if isFirst {
+				all = insertTop(all, r, count)
 			}
 		}
 	}
-	e.scratch = list
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
-	front := 0
-	for i := 0; i < len(list) && front < localChoices; i++ {
-		if list[i].target.Info.Zone == e.zone {
-			moved := list[i]
-			copy(list[front+1:i+1], list[front:i])
-			list[front] = moved
-			front++
+	e.local, e.all = local, all
+	list := e.scratch[:0]
+	for _, r := range local {
+		list = append(list, r.target)
+	}
+	for _, r := range all {
+		if !slices.Contains(list[:len(local)], r.target) {
+			list = append(list, r.target)
 		}
 	}
-	return list
+	e.scratch = list
+	return list[:min(count, len(list))]
 }
 
 // nextTargets returns the next targets to probe for a flow's owner. Until all
 // agents had time to answer, these are the targets of young agents.
 func (e *Engine) nextTargets(now time.Duration, s *search, flow segment.Flow, count int) []*Target {
-	list := e.rank(flow, e.view.servicesOf(flow.Service), func(t *Target) bool {
-		return !s.refusedBy(t) && !slices.Contains(s.asked, t) && (s.probing || t.young(now))
-	})
-	var next []*Target
-	for _, r := range list[:min(count, len(list))] {
-		next = append(next, r.target)
-	}
-	return next
+	return slices.Clone(e.rank(flow, e.view.servicesOf(flow.Service), func(t *Target) bool {
+		return !s.refusedBy(t) && !slices.Contains(s.asked, t) && (s.stage == probing || t.young(now, e.view.youngFor()))
+	}, count))
 }
 
 // queryTargets returns the targets from and below the given ranks, whose agents
 // are asked for a flow.
 func (e *Engine) queryTargets(flow segment.Flow, from, to int) []*Target {
-	list := e.rank(flow, e.view.servicesOf(flow.Service), func(*Target) bool { return true })
-	var targets []*Target
-	for _, r := range list[min(from, len(list)):min(to, len(list))] {
-		targets = append(targets, r.target)
-	}
-	return targets
+	list := e.rank(flow, e.view.servicesOf(flow.Service), func(*Target) bool { return true }, to)
+	return slices.Clone(list[min(from, len(list)):])
 }
 
 // choose returns the least loaded of the first targets for a new flow, or nil.
@@ -95,15 +118,15 @@
 	usable := func(t *Target) bool { return t.open() && !excluded(t) }
 	healthy := func(t *Target) bool { return usable(t) && !e.suspect(now, t) }
 	names := [1]string{service}
-	list := e.rank(flow, names[:], healthy)
+	list := e.rank(flow, names[:], healthy, localChoices+globalChoices)
 	if len(list) == 0 {
-		list = e.rank(flow, names[:], usable)
+		list = e.rank(flow, names[:], usable, localChoices+globalChoices)
 	}
 	var best *Target
 	var bestCost float64
-	for _, r := range list[:min(len(list), localChoices+globalChoices)] {
-		if cost := e.cost(r.target); best == nil || cost < bestCost {
-			best, bestCost = r.target, cost
+	for _, t := range list {
+		if cost := e.cost(t); best == nil || cost < bestCost {
+			best, bestCost = t, cost
 		}
 	}
 	return best
@@ -122,6 +145,7 @@
 	pending := float64(t.load.pending.Load()) + sentWeight*float64(t.sent)
 	mean := float64(t.load.meanMilli.Load()) / 1000
 	cost := (pending + meanWeight*mean) / t.slots()
+	cost += failingCost * float64(t.load.failingMilli.Load()) / 1000
 	if t.cold.Load() {
 		cost += coldCost
 	}
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
@@ -22,20 +23,23 @@
 	// owner is among the first candidates unless those were busy.
 	firstQueries = 8
 	// maxQueries bounds the agents that are asked after them.
-	maxQueries = 64
+	maxQueries = 256
 	// queryWait is the time that the first agents have to answer: three round
 	// trips to another zone of the region.
 	queryWait = 10 * time.Millisecond
-	// probeWait is the time that all agents have to answer when the flow's target
-	// returned a segment; after that the targets themselves are probed.
+	// probeWait is the time from the first query that all agents have to answer
+	// when the flow's target returned a segment; after that the targets themselves
+	// are probed.
 	probeWait = 60 * time.Millisecond
-	// requeryInterval is the least time between two queries of all agents for a
-	// flow. It is below the shortest interval of retransmissions.
-	requeryInterval = 150 * time.Millisecond
-	// maxRounds is the number of queries after which targets are probed for a
-	// flow that no agent knows. Answers are lost on a full link, and probing
-	// would fill it further.
-	maxRounds = 4
+	// requeryInterval is the time between two queries for a flow: half of the
+	// shortest interval of retransmissions.
+	requeryInterval = 100 * time.Millisecond
+	// maxRounds is the number of queries after which all targets are probed for a
+	// flow that no agent knows. On a full link that loses half of the datagrams,
+	// and so three of four answers, one in a hundred searches gets as far.
+	maxRounds = 16
+	// queryBurst is the time for which the credit for queries is saved.
+	queryBurst = 250 * time.Millisecond
 	// maxSearches bounds the flows whose owner is searched at the same time.
 	maxSearches = 8192
 	// searchLife is the time for which the result of a search is kept after the
@@ -140,6 +144,13 @@
 	v.count++
 }
 
+// addAll adds the first maxFanout targets.
+func (v *Verdict) addAll(targets []*Target) {
+	for _, t := range targets[:min(len(targets), maxFanout)] {
+		v.add(t)
+	}
+}
+
 // record is what the engine remembers of a flow.
 type record struct {
 	target *Target
@@ -153,31 +164,35 @@
 type Engine struct {
 	zone string
 	view *View
-	// young and old are two generations of records: a flow that is not used for
-	// a whole generation is forgotten.
-	young, old map[segment.Flow]record
-	turned     time.Duration
-	searches   map[segment.Flow]*search
+	// records holds a flow until it was not used for a whole generation.
+	records  *generations.Map[segment.Flow, record]
+	searches map[segment.Flow]*search
 	// confirmed says that the store answered a moment ago and no peer is known to
 	// have a newer view.
 	confirmed bool
 	// doubted says that the balancer's own link is in doubt.
 	doubted bool
 	// silent is the number of silent targets at the last tick.
-	silent  int
-	scratch []ranked
-	// queried are the flows whose first query has not been answered, asked those
-	// whose second one has not; both oldest first.
-	queried, asked []dueFlow
+	silent int
+	// local, all and scratch are the working space of rank.
+	local, all []ranked
+	scratch    []*Target
+	// due are the flows whose search goes on at a time.
+	due dueFlows
+	// queryRate is the number of queries that may be sent in a second, 0 if it is
+	// not bounded; credit is what may be sent of it at credited.
+	queryRate, credit float64
+	credited          time.Duration
 }
 
-// New returns an engine for a balancer in a zone.
-func New(zone string) *Engine {
+// New returns an engine for a balancer in a zone that may send a number of
+// queries in a second; 0 does not bound them.
+func New(zone string, queryRate float64) *Engine {
 	return &Engine{
-		zone:     zone,
-		young:    make(map[segment.Flow]record),
-		old:      make(map[segment.Flow]record),
-		searches: make(map[segment.Flow]*search),
+		zone:      zone,
+		queryRate: queryRate,
+		records:   generations.New[segment.Flow, record](maxFlows),
+		searches:  make(map[segment.Flow]*search),
 	}
 }
 
@@ -188,7 +203,7 @@
 func (e *Engine) View() *View { return e.view }
 
 // Flows returns the number of remembered flows.
-func (e *Engine) Flows() int { return len(e.young) + len(e.old) }
+func (e *Engine) Flows() int { return e.records.Len() }
 
 // Searches returns the number of flows whose owner is searched.
 func (e *Engine) Searches() int { return len(e.searches) }
@@ -200,17 +215,19 @@
 // Silent returns the number of silent targets at the last tick.
 func (e *Engine) Silent() int { return e.silent }
 
-// Tick does what depends on time alone. Confirmed says whether the view is the
-// newest one: the store answered a moment ago and no peer has a newer one.
-func (e *Engine) Tick(now time.Duration, confirmed bool) {
+// Tick does what depends on time alone, and returns the flows whose search ended
+// without a result. Confirmed says whether the view is the newest one: the store
+// answered a moment ago and no peer has a newer one.
+func (e *Engine) Tick(now time.Duration, confirmed bool) (ended []segment.Flow) {
 	e.confirmed = confirmed
 	for flow, s := range e.searches {
 		if now-s.used > searchLife {
 			delete(e.searches, flow)
+			ended = append(ended, flow)
 		}
 	}
 	if e.view == nil {
-		return
+		return ended
 	}
 	silent, total := 0, 0
 	for _, targets := range e.view.services {
@@ -223,33 +240,8 @@
 	}
 	e.silent = silent
 	e.doubted = float64(silent) > doubtShare*float64(total)
-	if now-e.turned >= max(minGeneration, e.view.IdleTimeout) {
-		e.old, e.young = e.young, e.old
-		clear(e.young)
-		e.turned = now
-	}
-}
-
-// lookup returns the record of a flow and renews it.
-func (e *Engine) lookup(flow segment.Flow) (record, bool) {
-	if r, ok := e.young[flow]; ok {
-		return r, true
-	}
-	r, ok := e.old[flow]
-	if ok {
-		e.young[flow] = r
-		delete(e.old, flow)
-	}
-	return r, ok
-}
-
-// store writes the record of a flow; it reports whether there was room.
-func (e *Engine) store(flow segment.Flow, r record) bool {
-	if _, known := e.young[flow]; !known && len(e.young) >= maxFlows {
-		return false
-	}
-	e.young[flow] = r
-	return true
+	e.records.Turn(now, max(minGeneration, e.view.IdleTimeout), nil)
+	return ended
 }
 
 // Segment decides on a segment that a caller sent.
@@ -263,14 +255,14 @@
 	case head.Opening:
 		return e.open(now, flow, head.Copy)
 	}
-	r, known := e.lookup(flow)
+	r, known := e.records.Get(flow)
 	if !known || r.target == nil {
 		return e.search(now, flow)
 	}
 	if r.target.replaced.Load() {
 		// The next lifetime at the address may have opened the flow before its
 		// entry was seen; only its agent knows.
-		e.store(flow, record{openings: r.openings})
+		e.records.Put(flow, record{openings: r.openings})
 		return e.search(now, flow)
 	}
 	return one(Known, flow, r.target, 0)
@@ -291,7 +283,7 @@
 		}
 		return Verdict{Action: Reset, Reason: NoRoute, Flow: flow}
 	}
-	r, known := e.lookup(flow)
+	r, known := e.records.Get(flow)
 	if known && copyNumber < r.openings && r.target != nil {
 		// The network repeated the segment.
 		return one(Opened, flow, r.target, 0)
@@ -311,7 +303,7 @@
 	if copyNumber > 0 {
 		reason = Repeated
 	}
-	if !e.store(flow, next) {
+	if !e.records.Put(flow, next) {
 		return Verdict{Reason: Overfull, Flow: flow}
 	}
 	t.sent++
@@ -342,7 +334,7 @@
 		return Verdict{Reason: Overfull, Flow: flow}
 	}
 	s.refuse(from)
-	r, _ := e.lookup(flow)
+	r, _ := e.records.Get(flow)
 	t := e.choose(now, route.Service(flow.Hash()), flow, s.refusedBy)
 	if t == nil {
 		// Only a first copy without an alternative is certainly not open anywhere.
@@ -357,7 +349,7 @@
 		r.previous, r.target = r.target, t
 	}
 	r.openings = max(r.openings, head.Copy+1)
-	e.store(flow, r)
+	e.records.Put(flow, r)
 	t.sent++
 	return one(PassedOn, flow, t, segment.Unpack(head.Note).Attempt+1)
 }
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"container/heap"
 	"net/netip"
 	"slices"
 	"time"
@@ -8,21 +9,31 @@
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
+// stage is how far a search has come.
+type stage uint8
+
+const (
+	// begun searches have asked nobody.
+	begun stage = iota
+	// asking searches query agents.
+	asking
+	// probing searches send the flow's segments to targets.
+	probing
+)
+
 // search is the state of finding the owner of a flow, or a target for an
-// opening that was returned. Agents are queried first; where none answers, for
+// opening that was returned. Agents are queried first; where none can know, for
 // example because it was restarted, segments of the flow go to the targets
 // themselves, which return what they do not hold.
 type search struct {
-	used time.Duration
-	// queried is the time of the last query to agents; 0 if there was none.
-	// Rounds counts the queries.
-	queried time.Duration
-	rounds  int
+	stage stage
+	used  time.Duration
+	// due is the time of the next step; 0 if none is planned.
+	due time.Duration
+	// rounds counts the queries.
+	rounds int
 	// lost says that the target on record returned a segment of the flow.
 	lost bool
-	// askedAll says that all agents were asked, probing that segments go to all
-	// targets.
-	askedAll, probing bool
 	// asked targets have got a segment and have not returned it; the last ones
 	// were added at askedAt.
 	asked   []*Target
@@ -68,31 +79,97 @@
 	at   time.Duration
 }
 
+// dueFlows is a heap of flows, the earliest first.
+type dueFlows []dueFlow
+
+func (d dueFlows) Len() int           { return len(d) }
+func (d dueFlows) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dueFlows) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dueFlows) Push(x any)        { *d = append(*d, x.(dueFlow)) }
+func (d *dueFlows) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// schedule plans the next step of a search.
+func (e *Engine) schedule(s *search, flow segment.Flow, at time.Duration) {
+	s.due = at
+	heap.Push(&e.due, dueFlow{flow, at})
+}
+
 // search decides on a segment of a flow without a known owner.
 func (e *Engine) search(now time.Duration, flow segment.Flow) Verdict {
 	s := e.searchOf(now, flow)
 	switch {
 	case s == nil:
 		return Verdict{Reason: Overfull, Flow: flow}
-	case s.queried == 0:
-		s.queried, s.rounds = now, 1
-		e.queried = append(e.queried, dueFlow{flow, now + queryWait})
-		return Verdict{Action: Query, Reason: Searching, Flow: flow, agents: e.queryTargets(flow, 0, firstQueries)}
-	case s.probing && (len(s.asked) == 0 || now-s.askedAt >= askInterval):
+	case s.stage == begun:
+		s.stage, s.rounds = asking, 1
+		e.schedule(s, flow, now+queryWait)
+		v := Verdict{Action: Query, Reason: Searching, Flow: flow, agents: e.queryTargets(flow, 0, firstQueries)}
+		e.spend(now, len(v.agents))
+		return v
+	case s.stage == probing && (len(s.asked) == 0 || now-s.askedAt >= askInterval):
 		return e.probe(now, s, flow)
-	case s.probing, now-s.queried < requeryInterval:
-		return Verdict{Action: Hold, Reason: Searching, Flow: flow}
-	case s.rounds >= maxRounds:
+	case s.stage == asking && s.due == 0:
+		return e.step(now, s, flow)
+	}
+	return Verdict{Action: Hold, Reason: Searching, Flow: flow}
+}
+
+// step goes on with a search that no agent has answered: it queries agents, all
+// of them and the first candidates by turns, and sends the segment to the
+// targets of young agents. In the end it probes all targets.
+func (e *Engine) step(now time.Duration, s *search, flow segment.Flow) Verdict {
+	s.due = 0
+	if s.rounds >= maxRounds || s.lost && s.rounds > 1 {
 		return e.probe(now, s, flow)
 	}
-	s.queried = now
+	if !e.maySpend(now) {
+		e.schedule(s, flow, now+requeryInterval)
+		return Verdict{Action: Hold, Reason: Searching, Flow: flow}
+	}
+	v := Verdict{Reason: Searching, Flow: flow}
+	switch {
+	case s.rounds == 1:
+		v.agents = e.queryTargets(flow, firstQueries, maxQueries)
+	case s.rounds%2 == 0:
+		v.agents = e.queryTargets(flow, 0, firstQueries)
+	default:
+		v.agents = e.queryTargets(flow, 0, maxQueries)
+	}
+	if s.rounds%2 == 1 {
+		s.begin(now, e.nextTargets(now, s, flow, maxFanout))
+		v.addAll(s.asked)
+	}
+	v.Action = Query
+	e.spend(now, len(v.agents))
 	s.rounds++
-	return Verdict{Action: Query, Reason: Searching, Flow: flow, agents: e.queryTargets(flow, 0, maxQueries)}
+	wait := requeryInterval
+	if s.lost {
+		wait = probeWait - queryWait
+	}
+	e.schedule(s, flow, now+wait)
+	return v
+}
+
+// maySpend reports whether queries may be sent now.
+func (e *Engine) maySpend(now time.Duration) bool {
+	e.spend(now, 0)
+	return e.queryRate == 0 || e.credit > 0
+}
+
+// spend counts queries against the rate of the balancer. The credit may become
+// negative: a round is never cut.
+func (e *Engine) spend(now time.Duration, queries int) {
+	e.credit = min(e.credit+(now-e.credited).Seconds()*e.queryRate, e.queryRate*queryBurst.Seconds()) - float64(queries)
+	e.credited = now
 }
 
 // probe sends a segment to targets that may hold its flow.
 func (e *Engine) probe(now time.Duration, s *search, flow segment.Flow) Verdict {
-	s.probing = true
+	s.stage = probing
 	if len(s.asked) == 0 {
 		// A new round, because the list of targets may have changed.
 		s.refused = s.refused[:0]
@@ -105,12 +182,11 @@
 // answered. The caller hands the first held segment of each to Continue.
 func (e *Engine) Overdue(now time.Duration) []segment.Flow {
 	var flows []segment.Flow
-	for _, list := range []*[]dueFlow{&e.queried, &e.asked} {
-		for len(*list) > 0 && (*list)[0].at <= now {
-			if s := e.searches[(*list)[0].flow]; s != nil && !s.probing {
-				flows = append(flows, (*list)[0].flow)
-			}
-			*list = (*list)[1:]
+	for len(e.due) > 0 && e.due[0].at <= now {
+		next := heap.Pop(&e.due).(dueFlow)
+		if s := e.searches[next.flow]; s != nil && s.due == next.at {
+			s.due = 0
+			flows = append(flows, next.flow)
 		}
 	}
 	return flows
@@ -119,39 +195,25 @@
 // NextOverdue returns the time at which the next search goes on; false when
 // there is none.
 func (e *Engine) NextOverdue() (time.Duration, bool) {
-	switch {
-	case len(e.queried) > 0 && (len(e.asked) == 0 || e.queried[0].at < e.asked[0].at):
-		return e.queried[0].at, true
-	case len(e.asked) > 0:
-		return e.asked[0].at, true
+	if len(e.due) == 0 {
+		return 0, false
 	}
-	return 0, false
+	return e.due[0].at, true
 }
 
-// Continue decides on a held segment of a flow that the agents asked so far do
-// not know: first the other agents are asked and the targets of young agents
-// probed, later all targets if the flow is probably lost.
+// Continue decides on a held segment of a flow whose search is overdue.
 func (e *Engine) Continue(now time.Duration, flow segment.Flow) Verdict {
-	if r, known := e.lookup(flow); known && r.target != nil {
+	if r, known := e.records.Get(flow); known && r.target != nil {
 		return one(Known, flow, r.target, 0)
 	}
 	s := e.searchOf(now, flow)
 	if s == nil || e.view == nil {
 		return Verdict{Reason: Overfull, Flow: flow}
 	}
-	switch {
-	case s.askedAll && s.lost:
-		return e.probe(now, s, flow)
-	case s.askedAll:
+	if s.stage != asking {
 		return Verdict{Reason: Searching, Flow: flow}
 	}
-	s.askedAll = true
-	e.asked = append(e.asked, dueFlow{flow, now + probeWait - queryWait})
-	s.begin(now, e.nextTargets(now, s, flow, maxFanout))
-	v := ask(flow, s.asked)
-	v.Action, v.Reason = Query, Searching
-	v.agents = e.queryTargets(flow, firstQueries, maxQueries)
-	return v
+	return e.step(now, s, flow)
 }
 
 // Searching reports whether the owner of a flow is searched.
@@ -160,9 +222,7 @@
 // ask returns the verdict that sends a segment to targets.
 func ask(flow segment.Flow, targets []*Target) Verdict {
 	v := Verdict{Action: Forward, Reason: Searching, Flow: flow}
-	for _, t := range targets[:min(len(targets), maxFanout)] {
-		v.add(t)
-	}
+	v.addAll(targets)
 	if v.count == 0 {
 		return Verdict{Reason: NoTarget, Flow: flow}
 	}
@@ -173,11 +233,11 @@
 // does not hold: the segment goes to one more target, so that a silent one does
 // not hold up the others.
 func (e *Engine) flowReturned(now time.Duration, from netip.Addr, flow segment.Flow) Verdict {
-	r, known := e.lookup(flow)
+	r, known := e.records.Get(flow)
 	if known && r.target != nil && !r.target.on(from) {
 		if r.previous.on(from) {
 			r.previous = nil
-			e.store(flow, r)
+			e.records.Put(flow, r)
 		}
 		// The owner became known meanwhile.
 		return one(Known, flow, r.target, 0)
@@ -190,14 +250,14 @@
 	count := 1
 	if known && r.target.on(from) {
 		s.lost = true
-		e.store(flow, record{openings: r.openings})
+		e.records.Put(flow, record{openings: r.openings})
 		if r.previous != nil && !s.refusedBy(r.previous) {
 			s.begin(now, []*Target{r.previous})
 			return ask(flow, s.asked)
 		}
 		count = maxFanout
 	}
-	if s.queried == 0 {
+	if s.stage == begun {
 		return e.search(now, flow)
 	}
 	if next := e.nextTargets(now, s, flow, count); len(next) > 0 {
@@ -234,9 +294,26 @@
 	return Verdict{Reason: Ownerless, Flow: flow}
 }
 
-// Owner records that a target holds a flow.
-func (e *Engine) Owner(flow segment.Flow, t *Target) {
-	r, _ := e.lookup(flow)
-	e.store(flow, record{target: t, openings: r.openings})
-	delete(e.searches, flow)
+// Owner records that a target holds a flow. It returns the number of queries of
+// the search that this ends, 0 if there was none.
+func (e *Engine) Owner(flow segment.Flow, t *Target) (rounds int) {
+	r, _ := e.records.Get(flow)
+	e.records.Put(flow, record{target: t, openings: r.openings})
+	if s := e.searches[flow]; s != nil {
+		rounds = s.rounds
+		delete(e.searches, flow)
+	}
+	return rounds
+}
+
+// Recall records a flow that this balancer forwarded to a target before it was
+// restarted. What it has learned since then is newer.
+func (e *Engine) Recall(flow segment.Flow, t *Target) {
+	if r, known := e.records.Get(flow); known && r.target != nil {
+		return
+	}
+	if s := e.searches[flow]; s != nil && s.refusedBy(t) {
+		return
+	}
+	e.Owner(flow, t)
 }
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -18,15 +18,20 @@
 	targetKey1 = 0x757374617267657a
 )
 
-// youngFor is the time after the start of an agent in which its target may hold
-// flows that the agent does not know: callers pause for some seconds between the
-// requests of a flow.
-const youngFor = 10 * time.Second
+// youngFor is the least time after the start of an agent in which its target may
+// hold flows that the agent does not know: callers pause between the requests of
+// a flow. A longer limit of idle flows extends it.
+const youngFor = 15 * time.Second
 
 // SilentAfter is the time without a word of an agent after which its target
 // gets no new flows: three lost answers at the interval of pings.
 const SilentAfter = 900 * time.Millisecond
 
+// patienceFactor is the number of latency objectives after which a request
+// without an answer counts as failed: an answer that late is worth little, and
+// the queue of a target that works is shorter.
+const patienceFactor = 2
+
 // Load is what an agent last said of its target. It is written by the receiver
 // of reports and read by the engine.
 type Load struct {
@@ -37,14 +42,18 @@
 	heard, started atomic.Int64
 	// reports counts the reports.
 	reports atomic.Uint32
+	// failingMilli is the share of recent requests that failed, in thousandths.
+	failingMilli atomic.Uint32
 	// unresponsive targets do not answer their agent; leaving agents stop.
 	unresponsive, leaving atomic.Bool
 }
 
 // Report is the content of a report of an agent.
 type Report struct {
-	Pending      uint32
-	MeanPending  float64
+	Pending     uint32
+	MeanPending float64
+	// Failing is the share of recent requests that failed.
+	Failing      float64
 	Unresponsive bool
 	Leaving      bool
 	// Uptime is the time since the start of the agent.
@@ -63,6 +72,9 @@
 	load Load
 
 	draining, cold, gone, replaced atomic.Bool
+	// recalled says that the agent has named the flows that this balancer
+	// forwarded before it was restarted.
+	recalled atomic.Bool
 
 	// sent counts openings since the report number sentReport; only the engine
 	// uses both.
@@ -74,6 +86,7 @@
 func (t *Target) Report(now time.Duration, r Report) {
 	t.load.pending.Store(r.Pending)
 	t.load.meanMilli.Store(uint32(r.MeanPending * 1000))
+	t.load.failingMilli.Store(uint32(r.Failing * 1000))
 	t.load.unresponsive.Store(r.Unresponsive)
 	t.load.leaving.Store(r.Leaving)
 	t.load.heard.Store(int64(now))
@@ -86,9 +99,10 @@
 	return now-time.Duration(t.load.heard.Load()) > SilentAfter
 }
 
-// young reports whether the agent was started a moment ago, as far as is known.
-func (t *Target) young(now time.Duration) bool {
-	return t.load.reports.Load() == 0 || now-time.Duration(t.load.started.Load()) < youngFor
+// young reports whether the agent was started less than a time ago, as far as is
+// known.
+func (t *Target) young(now, limit time.Duration) bool {
+	return t.load.reports.Load() == 0 || now-time.Duration(t.load.started.Load()) < limit
 }
 
 // ReportAge returns the time since the last report.
@@ -99,6 +113,13 @@
 // Pending returns the requests that ran or waited at the last report.
 func (t *Target) Pending() uint32 { return t.load.pending.Load() }
 
+// Recalled reports whether the agent has named the flows that this balancer
+// forwarded before it was restarted.
+func (t *Target) Recalled() bool { return t.recalled.Load() }
+
+// SetRecalled records that the agent has named them.
+func (t *Target) SetRecalled() { t.recalled.Store(true) }
+
 // on reports whether the target is on a host; no target is on none.
 func (t *Target) on(host netip.Addr) bool { return t != nil && t.Agent.Addr() == host }
 
@@ -119,6 +140,8 @@
 	// named for an endpoint: flows that they opened are still there.
 	former map[segment.Endpoint][]string
 	byHost map[netip.Addr]*Target
+	// patience is the time by service after which an answer is of little use.
+	patience map[string]time.Duration
 }
 
 // Targets returns all targets of the view.
@@ -130,6 +153,14 @@
 	return out
 }
 
+// Patience returns the time after which a request to a service that has no answer
+// counts as failed; 0 if no route says.
+func (v *View) Patience(service string) time.Duration { return v.patience[service] }
+
+// youngFor returns the time after the start of an agent in which its target may
+// hold flows that it does not know.
+func (v *View) youngFor() time.Duration { return max(youngFor, v.IdleTimeout) }
+
 // Host returns the target on a host, or nil.
 func (v *View) Host(host netip.Addr) *Target { return v.byHost[host] }
 
@@ -142,9 +173,14 @@
 		services: make(map[string][]*Target),
 		former:   make(map[segment.Endpoint][]string),
 		byHost:   make(map[netip.Addr]*Target, len(table.Targets)),
+		patience: make(map[string]time.Duration),
 	}
 	for i := range routes.Routes {
-		v.routes[routes.Routes[i].Endpoint] = &routes.Routes[i]
+		route := &routes.Routes[i]
+		v.routes[route.Endpoint] = route
+		for _, share := range route.Shares {
+			v.patience[share.Service] = max(v.patience[share.Service], patience(route))
+		}
 	}
 	known := make(map[netip.Addr]*Target)
 	if earlier != nil {
@@ -156,7 +192,10 @@
 		host := info.Address.Addr()
 		t := known[host]
 		if t == nil || !t.Info.SameLife(&info) {
-			t = newTarget(now, info, agentPort)
+			next := newTarget(now, info, agentPort)
+			// What the agent remembers is of the earlier lifetime.
+			next.recalled.Store(t != nil)
+			t = next
 		}
 		t.draining.Store(info.Draining)
 		t.cold.Store(info.Cold)
@@ -167,6 +206,15 @@
 	return v
 }
 
+// patience returns the time after which an answer to a request of a route is of
+// little use.
+func patience(route *registry.Route) time.Duration {
+	if route.Timeout == 0 {
+		return patienceFactor * route.Aim
+	}
+	return min(patienceFactor*route.Aim, route.Timeout)
+}
+
 func newTarget(now time.Duration, info registry.Target, agentPort uint16) *Target {
 	t := &Target{
 		Info:  info,
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -145,6 +145,8 @@
 	FlowReset = Event{Number: 602, Level: log.WarnLevel, Name: "flow_reset",
 		Message: "the caller was told that its flow is lost or cannot open",
 		Fields:  []string{"flow", "reason", "copy", "attempt", "version", "revision"}}
+	FlowFound = Event{Number: 603, Level: log.InfoLevel, Name: "flow_found",
+		Message: "an agent named the target of a flow", Fields: []string{"flow", "target", "queries"}}
 	SegmentRefused = Event{Number: 610, Level: log.InfoLevel, Name: "segment_refused",
 		Message: "segment not handed to the target", Fields: []string{"flow", "reason", "attempt", "pending"}}
 	SegmentReturned = Event{Number: 611, Level: log.InfoLevel, Name: "segment_returned",
@@ -157,6 +159,10 @@
 		Message: "request handed to the target", Fields: []string{"request", "flow", "balancer", "pending"}}
 	RequestAbandoned = Event{Number: 615, Level: log.WarnLevel, Name: "request_abandoned",
 		Message: "the caller ended the flow before an answer", Fields: []string{"request", "flow", "waited", "pending"}}
+	TargetFailing = Event{Number: 616, Level: log.WarnLevel, Name: "target_failing",
+		Message: "the target began or ceased to fail a part of its requests", Fields: []string{"failing", "share", "pending"}}
+	FlowsTold = Event{Number: 617, Level: log.InfoLevel, Name: "flows_told",
+		Message: "a balancer that was started was told its flows", Fields: []string{"balancer", "flows"}}
 	SendFailed = Event{Number: 620, Level: log.WarnLevel, Name: "send_failed",
 		Message: "a datagram could not be sent", Fields: []string{"to", "error"}}
 )
@@ -171,6 +177,6 @@
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
-		FlowPlaced, FlowDecided, FlowReset, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, SendFailed,
+		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold, SendFailed,
 	}
 }
