A target that does not respond is tried once a second

Cause: balancers sent no opening to a target whose agent had reported it unresponsive, and only a segment of the target ends that verdict. After a false alarm without open flows it would have been left out until its next lifetime. Ruled out: that the agent's own trials end it (they need openings to arrive). The new test of the engine fails without (0 openings in 5 s); the new test of the whole path covers the return of a crashed target.

--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -22,6 +22,10 @@
 	// requests all fail. A target with a tenth of failures is still used when the
 	// others have a request waiting per slot; if all fail alike, none is preferred.
 	failingCost = 10
+	// trialInterval is the time between openings that this balancer sends to a
+	// target which does not respond. The caller of one loses the 200 ms until its
+	// next copy if the target is still dead.
+	trialInterval = time.Second
 	// meanWeight weighs the mean of pending requests against the present count.
 	meanWeight = 1.0
 	// sentWeight weighs openings that the last report does not contain yet.
@@ -129,12 +133,20 @@
 			best, bestCost = t, cost
 		}
 	}
+	if best != nil && best.load.unresponsive.Load() {
+		best.tried = now
+	}
 	return best
 }
 
-// suspect reports whether a target should get no new flow while others can.
+// suspect reports whether a target should get no new flow while others can. One
+// that does not respond is tried now and then, because only an opening shows that
+// it is back.
 func (e *Engine) suspect(now time.Duration, t *Target) bool {
-	return t.load.unresponsive.Load() || t.load.leaving.Load() || t.Silent(now) && !e.doubted
+	if t.load.unresponsive.Load() && now-max(t.tried, time.Duration(t.load.ceased.Load())) < trialInterval {
+		return true
+	}
+	return t.load.leaving.Load() || t.Silent(now) && !e.doubted
 }
 
 // cost estimates the load of a target in requests per slot.
--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -215,6 +215,25 @@
 	}
 }
 
+// Guards against a target that gets no new flows for good after one false alarm:
+// only an opening shows its agent that it responds.
+func TestUnresponsiveTargetIsTried(t *testing.T) {
+	f := newFixture(t, 2)
+	f.report()
+	unresponsive := Report{Unresponsive: true, Uptime: time.Hour}
+	f.at(0).Report(f.now, unresponsive)
+	tried := 0
+	for i := range 500 {
+		f.now += 10 * time.Millisecond
+		f.report(f.at(0))
+		f.at(0).Report(f.now, unresponsive)
+		if f.first(opening(i, 0)) == f.at(0) {
+			tried++
+		}
+	}
+	f.c.Check(tried >= 3 && tried <= 5, qt.IsTrue, qt.Commentf("%d openings in 5 s", tried))
+}
+
 // Guards against load that does not follow the agents' reports, and against all
 // openings between two reports going to one target.
 func TestLoadSpreads(t *testing.T) {
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -40,6 +40,8 @@
 	pending, meanMilli atomic.Uint32
 	// heard is the time of the last report, started that of the agent's start.
 	heard, started atomic.Int64
+	// ceased is the time at which the target stopped to respond.
+	ceased atomic.Int64
 	// reports counts the reports.
 	reports atomic.Uint32
 	// failingMilli is the share of recent requests that failed, in thousandths.
@@ -80,6 +82,9 @@
 	// uses both.
 	sent       uint32
 	sentReport uint32
+	// tried is the time of the last opening that went to the target although it
+	// did not respond; only the engine uses it.
+	tried time.Duration
 }
 
 // Report records a report of the target's agent.
@@ -87,7 +92,9 @@
 	t.load.pending.Store(r.Pending)
 	t.load.meanMilli.Store(uint32(r.MeanPending * 1000))
 	t.load.failingMilli.Store(uint32(r.Failing * 1000))
-	t.load.unresponsive.Store(r.Unresponsive)
+	if !t.load.unresponsive.Swap(r.Unresponsive) && r.Unresponsive {
+		t.load.ceased.Store(int64(now))
+	}
 	t.load.leaving.Store(r.Leaving)
 	t.load.heard.Store(int64(now))
 	t.load.started.Store(int64(now - r.Uptime))
