--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -65,6 +65,9 @@
 type flowState struct {
 	// asked is the time of the last request data without an answer; 0 if none.
 	asked time.Duration
+	// opened is the time of the first copy of the opening until the first answer;
+	// 0 after it.
+	opened time.Duration
 	// dataEnd is the place after the last data of the caller, valid if hasData.
 	dataEnd uint32
 	hasData bool
@@ -242,6 +245,9 @@
 	switch {
 	case head.Opening:
 		s.ended = false
+		if !known || head.Copy == 0 {
+			s.opened = now
+		}
 		if t.unanswered == 0 {
 			t.unanswered = now
 		}
@@ -290,6 +296,9 @@
 	// Waited is the time from the request's last data to this first data of
 	// its answer; 0 for other segments.
 	Waited time.Duration
+	// SinceOpening is the time since the opening of the flow if this is its first
+	// answer, and 0 otherwise.
+	SinceOpening time.Duration
 }
 
 // Answered records a segment that the target sent to a caller. Failed says that
@@ -314,7 +323,10 @@
 		s.asked, s.opening, s.ended = 0, false, true
 	case head.DataLength > 0 && s.asked != 0:
 		a.Waited, a.First = now-s.asked, true
-		s.asked = 0
+		if s.opened != 0 {
+			a.SinceOpening = now - s.opened
+		}
+		s.asked, s.opened = 0, 0
 		if !s.counted || !failed {
 			t.failures.record(now, failed)
 		}
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -257,6 +257,9 @@
 // answered records the first data of an answer.
 func (a *Agent) answered(head segment.Head, answer occupancy.Answer, status int, failed bool, pending int) {
 	a.metrics.Wait.Record(answer.Waited)
+	if answer.SinceOpening > 0 {
+		a.metrics.Opening.Record(answer.SinceOpening)
+	}
 	if failed {
 		a.metrics.Failed.Inc()
 	}
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -167,7 +167,7 @@
 		return
 	}
 	now := b.clock.now()
-	b.takeOwners()
+	b.takeOwners(now)
 	var verdict steering.Verdict
 	if head.Returned {
 		b.metrics.Returned.Inc()
@@ -233,31 +233,40 @@
 }
 
 // takeOwners records the owners that agents named.
-func (b *Balancer) takeOwners() {
+func (b *Balancer) takeOwners(now time.Duration) {
 	for len(b.owners) > 0 {
 		o := <-b.owners
 		if o.recalled {
 			o.target.SetRecalled()
 		}
 		for _, flow := range o.flows {
-			if o.recalled {
-				b.engine.Recall(flow, o.target)
-			} else if rounds := b.engine.Owner(flow, o.target); rounds > 0 && b.options.Logger.Allow(telemetry.FlowFound) {
-				b.options.Logger.Log(telemetry.FlowFound, "flow", flow.String(), "target", o.target.Info.ID, "queries", rounds)
-			}
-			if !b.engine.Searching(flow) {
-				b.release(flow, o.target)
-			}
+			b.takeOwner(now, flow, o)
 		}
 	}
 }
 
+// takeOwner records the owner of a flow and sends it the held segments.
+func (b *Balancer) takeOwner(now time.Duration, flow segment.Flow, o owners) {
+	if o.recalled {
+		b.engine.Recall(now, flow, o.target)
+	} else if found := b.engine.Owner(now, flow, o.target); found.Rounds > 0 {
+		b.metrics.Search.Record(found.Waited)
+		if b.options.Logger.Allow(telemetry.FlowFound) {
+			b.options.Logger.Log(telemetry.FlowFound, "flow", flow.String(), "target", o.target.Info.ID,
+				"queries", found.Rounds, "waited", found.Waited.Round(time.Millisecond))
+		}
+	}
+	if !b.engine.Searching(flow) {
+		b.release(flow, o.target)
+	}
+}
+
 // tickForwarding runs in the forwarding task.
 func (b *Balancer) tickForwarding(now time.Duration) {
 	if view := b.view.Load(); view != b.engine.View() {
 		b.engine.SetView(view)
 	}
-	b.takeOwners()
+	b.takeOwners(now)
 	for _, flow := range b.engine.Tick(now, b.confirmed.Load()) {
 		b.held.take(flow)
 	}
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -136,6 +136,11 @@
 		b.pinged = now
 	}
 	lost := b.peers.Lost(now)
+	age := int64(-1)
+	if contact := b.peers.ContactAge(now); contact != peers.Never {
+		age = contact.Milliseconds()
+	}
+	b.metrics.Age.Set(age)
 	b.steerReading(now)
 	b.mu.Unlock()
 	for _, peer := range lost {
--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -62,6 +62,7 @@
 	}
 	now := b.clock.now()
 	b.metrics.StoreCalls.Inc()
+	b.metrics.StoreCall.Record(now - began)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err == nil || errors.Is(err, ErrHistoryLost) {
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -27,7 +27,8 @@
 // themselves, which return what they do not hold.
 type search struct {
 	stage stage
-	used  time.Duration
+	// since is the time of the first segment, used that of the last one.
+	since, used time.Duration
 	// due is the time of the next step; 0 if none is planned.
 	due time.Duration
 	// rounds counts the queries.
@@ -66,7 +67,7 @@
 		if len(e.searches) >= maxSearches {
 			return nil
 		}
-		s = &search{}
+		s = &search{since: now}
 		e.searches[flow] = s
 	}
 	s.used = now
@@ -294,26 +295,34 @@
 	return Verdict{Reason: Ownerless, Flow: flow}
 }
 
-// Owner records that a target holds a flow. It returns the number of queries of
-// the search that this ends, 0 if there was none.
-func (e *Engine) Owner(flow segment.Flow, t *Target) (rounds int) {
+// Found tells of the search that the word of an agent ended.
+type Found struct {
+	// Rounds is the number of queries; 0 if there was no search.
+	Rounds int
+	// Waited is the time since the first segment of the flow.
+	Waited time.Duration
+}
+
+// Owner records that a target holds a flow, and ends the search for it.
+func (e *Engine) Owner(now time.Duration, flow segment.Flow, t *Target) Found {
 	r, _ := e.records.Get(flow)
 	e.records.Put(flow, record{target: t, openings: r.openings})
-	if s := e.searches[flow]; s != nil {
-		rounds = s.rounds
-		delete(e.searches, flow)
+	s := e.searches[flow]
+	if s == nil {
+		return Found{}
 	}
-	return rounds
+	delete(e.searches, flow)
+	return Found{Rounds: s.rounds, Waited: now - s.since}
 }
 
 // Recall records a flow that this balancer forwarded to a target before it was
 // restarted. What it has learned since then is newer.
-func (e *Engine) Recall(flow segment.Flow, t *Target) {
+func (e *Engine) Recall(now time.Duration, flow segment.Flow, t *Target) {
 	if r, known := e.records.Get(flow); known && r.target != nil {
 		return
 	}
 	if s := e.searches[flow]; s != nil && s.refusedBy(t) {
 		return
 	}
-	e.Owner(flow, t)
+	e.Owner(now, flow, t)
 }
--- a/internal/steering/search_test.go
+++ b/internal/steering/search_test.go
@@ -20,7 +20,7 @@
 			holder := f.at(owner)
 			home, _ := f.deliver(data(owner), f.probe(owner), holder)
 			f.c.Assert(home, qt.IsTrue, qt.Commentf("%d targets, owner %d", count, owner))
-			f.engine.Owner(flowOf(owner), holder)
+			f.engine.Owner(f.now, flowOf(owner), holder)
 			v := f.engine.Segment(f.now, data(owner))
 			f.c.Check(v.Reason, qt.Equals, Known)
 			f.c.Check(slices.Equal(v.Targets(), []*Target{holder}), qt.IsTrue)
@@ -76,7 +76,7 @@
 	}
 	f.now += requeryInterval
 	f.c.Check(len(f.probeTargets(1)) <= maxFanout, qt.IsTrue)
-	f.engine.Owner(flowOf(1), f.at(3))
+	f.engine.Owner(f.now, flowOf(1), f.at(3))
 	f.c.Check(f.first(data(1)), qt.Equals, f.at(3))
 	f.c.Check(f.engine.Searching(flowOf(1)), qt.IsFalse)
 	f.c.Check(f.engine.Overdue(f.now+requeryInterval), qt.HasLen, 0)
@@ -96,7 +96,7 @@
 		}
 		f.now += 10 * time.Millisecond
 	}
-	f.engine.Owner(flowOf(1), f.at(40))
+	f.engine.Owner(f.now, flowOf(1), f.at(40))
 	f.c.Check(f.first(data(1)), qt.Equals, f.at(40))
 }
 
@@ -132,14 +132,14 @@
 // balancer knows.
 func TestRecalledFlowsAreKnown(t *testing.T) {
 	f := newFixture(t, 12)
-	f.engine.Recall(flowOf(1), f.at(7))
+	f.engine.Recall(f.now, flowOf(1), f.at(7))
 	f.c.Check(f.first(data(1)), qt.Equals, f.at(7))
-	f.engine.Recall(flowOf(1), f.at(3))
+	f.engine.Recall(f.now, flowOf(1), f.at(3))
 	f.c.Check(f.first(data(1)), qt.Equals, f.at(7))
 	head := data(1)
 	head.Returned = true
 	f.engine.Returned(f.now, f.at(7).Agent.Addr(), head)
-	f.engine.Recall(flowOf(1), f.at(7))
+	f.engine.Recall(f.now, flowOf(1), f.at(7))
 	f.c.Check(f.engine.Searching(flowOf(1)), qt.IsTrue, qt.Commentf("the target returned the flow"))
 }
 
@@ -340,7 +340,7 @@
 	f.show(routes(1, "web"), 2)
 	v := f.engine.Segment(f.now, data(1))
 	f.c.Check(v.Action, qt.Equals, Query)
-	f.engine.Owner(flowOf(1), f.at(i))
+	f.engine.Owner(f.now, flowOf(1), f.at(i))
 	f.c.Check(f.first(data(1)), qt.Equals, f.at(i))
 }
 
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -146,7 +146,7 @@
 		Message: "the caller was told that its flow is lost or cannot open",
 		Fields:  []string{"flow", "reason", "copy", "attempt", "version", "revision"}}
 	FlowFound = Event{Number: 603, Level: log.InfoLevel, Name: "flow_found",
-		Message: "an agent named the target of a flow", Fields: []string{"flow", "target", "queries"}}
+		Message: "an agent named the target of a flow", Fields: []string{"flow", "target", "queries", "waited"}}
 	SegmentRefused = Event{Number: 610, Level: log.InfoLevel, Name: "segment_refused",
 		Message: "segment not handed to the target", Fields: []string{"flow", "reason", "attempt", "pending"}}
 	SegmentReturned = Event{Number: 611, Level: log.InfoLevel, Name: "segment_returned",
