Uploads leave a small balancer whose link is loaded; check of the platform's files

A burst of uploads filled it, their retransmissions kept it full for twenty seconds after the burst, and nine of ten datagrams of all services were lost on it; peers took it for dead and a balancer of 10 Mbit/s stepped in.

- First copies of openings of heavy routes are reset at once when the link is loaded by more than 35% and at least half of the balancers in rotation are four times as large.
Nothing has run, and the caller's next try reaches another one.
- A balancer counts for the rotation for 2.4 s after its last digest.
- node check: the platform's settings and a configuration as published.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -42,6 +42,7 @@
 	command.AddCommand(
 		nodeCommand("balancer", "Run a balancer on an entry host", false),
 		nodeCommand("agent", "Run the agent beside a target", true),
+		newNodeCheck(),
 	)
 	return command
 }
--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -127,6 +127,47 @@
 	c.Check(Execute([]string{"node", "balancer"}, &out, &errOut), qt.Equals, exitSettings)
 }
 
+// Guards against a check that accepts files which the processes refuse, or that
+// does not name the fault.
+func TestNodeCheck(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	file := func(name, content string) string {
+		path := filepath.Join(dir, name)
+		c.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil)
+		return path
+	}
+	host, _ := nodeHost(c)
+	good := filepath.Join(dir, "good.toml")
+	c.Assert(standin.WriteSettings(good, host), qt.IsNil)
+	host.Zone = ""
+	bad := filepath.Join(dir, "bad.toml")
+	c.Assert(standin.WriteSettings(bad, host), qt.IsNil)
+	tests := []struct {
+		args   []string
+		status int
+		output string
+	}{
+		{[]string{"agent", good}, 0, "agent side-a-1 in a, service shop"},
+		{[]string{"agent", good, bad}, exitSettings, "zone"},
+		{[]string{"balancer", file("empty.toml", "")}, exitSettings, "empty.toml"},
+		{[]string{"routes", file("routes.json", `{"version": 7, "routes": [{"name": "r", "host": "198.18.0.1", "prefix": "/443/", "backend": "shop"}]}`)},
+			0, "version 7, 1 routes"},
+		{[]string{"routes", file("port.json", `{"version": 7, "routes": [{"name": "r", "host": "198.18.0.1", "prefix": "/x/", "backend": "shop"}]}`)},
+			exitSettings, "route r"},
+		{[]string{"routes", file("broken.json", `{"version":`)}, exitSettings, "cannot be read"},
+		{[]string{"routes", filepath.Join(dir, "missing.json")}, exitSettings, "missing.json"},
+		{[]string{"targets", good}, exitSettings, "targets"},
+	}
+	for _, test := range tests {
+		c.Run(strings.Join(test.args, " "), func(c *qt.C) {
+			var out, errOut bytes.Buffer
+			c.Check(Execute(append([]string{"node", "check"}, test.args...), &out, &errOut), qt.Equals, test.status)
+			c.Check(out.String()+errOut.String(), qt.Contains, test.output)
+		})
+	}
+}
+
 // Guards against the command of the page of operations that finds a request.
 func TestExplainLogs(t *testing.T) {
 	c := qt.New(t)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -223,3 +223,43 @@
 		})
 	}
 }
+
+// Guards against a small balancer that steps in because a larger one, whose link
+// is full, was not heard for a moment (scale-2 of ssa-subastas-grown).
+func TestRotationOutlastsLostDigests(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{address(3), "a", 10}, nil)
+	for i, capacity := range []uint32{200, 200, 28} {
+		s.Hear(time.Minute, address(i), Digest{Zone: "a", Capacity: capacity, Serving: true})
+	}
+	s.Hear(time.Minute, address(4), Digest{Zone: "a", Capacity: 10, Serving: true})
+	s.Hear(time.Minute, address(5), Digest{Zone: "a", Capacity: 10, Serving: true})
+	c.Check(s.InRotation(time.Minute+liveFor+500*time.Millisecond), qt.IsFalse)
+}
+
+// Guards against callers that are sent on to balancers which are no larger, or to
+// so few that their tries come back.
+func TestRelief(t *testing.T) {
+	tests := []struct {
+		name   string
+		own    uint32
+		others []uint32
+		want   bool
+	}{
+		{"alone", 10, nil, false},
+		{"equal ones", 10, []uint32{10, 10}, false},
+		{"larger ones", 28, []uint32{200, 200, 10, 10, 10}, true},
+		{"one of two", 20, []uint32{200}, true},
+		{"too few", 50, []uint32{200, 50, 50}, false},
+		{"not large enough", 60, []uint32{200, 200}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := New(0, Self{address(9), "a", test.own}, nil)
+			for i, capacity := range test.others {
+				s.Hear(time.Minute, address(i), Digest{Zone: "a", Capacity: capacity, Serving: true})
+			}
+			qt.New(t).Check(s.Relief(time.Minute), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/peers/rotation.go
+++ b/internal/peers/rotation.go
@@ -13,14 +13,43 @@
 	capacity uint32
 }
 
+// rotationLife is the time without a digest after which a balancer no longer
+// counts for the rotation. It is longer than the one for other decisions: on a
+// full link several digests are lost in a row, and a small balancer that steps in
+// makes that worse.
+const rotationLife = 2 * liveFor
+
+// reliefFactor is the least ratio of capacities at which a balancer relieves a
+// smaller one.
+const reliefFactor = 4
+
 // InRotation reports whether this balancer should take traffic. The fabric gives
 // every balancer of a zone in rotation the same share, whatever its size, so
 // that a small one limits them all. The balancers of a zone therefore leave the
 // small ones out if the rest can forward more together. At least half of those
 // that the zone has stay, because below that the fabric uses all, dead ones too.
 func (s *Set) InRotation(now time.Duration) bool {
+	return slices.ContainsFunc(s.rotation(now), func(m member) bool { return m.address == s.self })
+}
+
+// Relief reports whether at least half of the balancers in rotation are so much
+// larger than this one that they should carry what its link cannot. A caller
+// whose opening is turned away reaches one of them with its next tries.
+func (s *Set) Relief(now time.Duration) bool {
+	chosen := s.rotation(now)
+	larger := 0
+	for _, m := range chosen {
+		if m.capacity/reliefFactor >= s.own.Capacity {
+			larger++
+		}
+	}
+	return larger > 0 && 2*larger >= len(chosen)
+}
+
+// rotation returns the balancers of the zone that should take traffic.
+func (s *Set) rotation(now time.Duration) []member {
 	if s.leaving {
-		return false
+		return nil
 	}
 	usable := []member{{s.self, s.own.Capacity}}
 	total := 1
@@ -29,7 +58,7 @@
 			continue
 		}
 		total++
-		if p.live(now) && p.digest.Serving && !p.digest.Leaving {
+		if now-p.heard < rotationLife && p.digest.Serving && !p.digest.Leaving {
 			usable = append(usable, member{address, p.digest.Capacity})
 		}
 	}
@@ -43,5 +72,5 @@
 			best, chosen = together, count
 		}
 	}
-	return slices.ContainsFunc(usable[:chosen], func(m member) bool { return m.address == s.self })
+	return usable[:chosen]
 }
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -32,11 +32,6 @@
 	meanSegment = 1200
 	// segmentCost is the processor time of forwarding one segment.
 	segmentCost = 25 * time.Microsecond
-	// queryShare is the share of the host's link that queries for the owners of
-	// flows may take, so that they do not crowd out the segments.
-	queryShare = 0.1
-	// querySize is the size of a query in bytes with the headers below it.
-	querySize = 64
 	// maxOwners bounds the owner messages that wait for the forwarding task.
 	maxOwners = 1024
 )
@@ -59,9 +54,6 @@
 	return uint32(min(o.LinkRate/meanSegment, o.Cores/segmentCost.Seconds(), math.MaxUint32))
 }
 
-// queryRate returns the number of queries a second that may look for owners.
-func (o *BalancerOptions) queryRate() float64 { return o.LinkRate * queryShare / querySize }
-
 // owners says that a target holds flows.
 type owners struct {
 	flows  []segment.Flow
@@ -87,8 +79,10 @@
 	view   atomic.Pointer[steering.View]
 	// confirmed says that the view is the newest one.
 	confirmed atomic.Bool
-	doubt     atomic.Bool
-	owners    chan owners
+	// relief says that most balancers in rotation have a much larger link.
+	relief atomic.Bool
+	doubt  atomic.Bool
+	owners chan owners
 	// held are segments whose owner is searched; they belong to the forwarding task.
 	held heldSegments
 	// lastPacket is the time of the last segment of a caller.
@@ -111,7 +105,7 @@
 // StartBalancer starts a balancer.
 func StartBalancer(options BalancerOptions) (*Balancer, error) {
 	b := &Balancer{
-		options: options, clock: newClock(), incarnation: rand.Uint64(), engine: steering.New(options.Zone, options.queryRate()),
+		options: options, clock: newClock(), incarnation: rand.Uint64(), engine: steering.New(options.Zone, options.LinkRate),
 		owners: make(chan owners, maxOwners), held: newHeldSegments(), registry: registry.New(), ended: make(chan error, 3),
 		metrics: telemetry.NewSegmentMetrics("balancer/"+options.Host, steering.ReasonNames()...),
 	}
@@ -267,6 +261,7 @@
 		b.engine.SetView(view)
 	}
 	b.takeOwners(now)
+	b.engine.SetRelief(b.relief.Load())
 	for _, flow := range b.engine.Tick(now, b.confirmed.Load()) {
 		b.held.take(flow)
 	}
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -130,6 +130,7 @@
 	}
 	_, behind := b.peers.Newer(now, b.registry.Routes().Version, b.registry.Table().Revision)
 	b.confirmed.Store(b.peers.Fresh(now) && !behind)
+	b.relief.Store(b.peers.Relief(now))
 	due := b.peers.Due(now, false)
 	pings := now-b.pinged >= pingInterval
 	if pings {
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -38,6 +38,11 @@
 	// flow that no agent knows. On a full link that loses half of the datagrams,
 	// and so three of four answers, one in a hundred searches gets as far.
 	maxRounds = 16
+	// queryShare is the share of the host's link that queries for the owners of
+	// flows may take, so that they do not crowd out the segments.
+	queryShare = 0.1
+	// querySize is the size of a query in bytes with the headers below it.
+	querySize = 64
 	// queryBurst is the time for which the credit for queries is saved.
 	queryBurst = 250 * time.Millisecond
 	// maxSearches bounds the flows whose owner is searched at the same time.
@@ -100,6 +105,9 @@
 	Ownerless
 	// Overfull: a table is full.
 	Overfull
+	// Diverted openings would overload the link; the caller tries again and
+	// reaches another balancer.
+	Diverted
 	// Irrelevant segments come from no caller.
 	Irrelevant
 	reasonCount
@@ -107,7 +115,7 @@
 
 var reasonNames = [reasonCount]string{
 	"known", "opened", "repeated", "passed_on", "searching", "unconfigured", "no_route",
-	"no_target", "refused", "ownerless", "overfull", "irrelevant",
+	"no_target", "refused", "ownerless", "overfull", "diverted", "irrelevant",
 }
 
 // String returns the name that logs and metrics carry.
@@ -172,6 +180,10 @@
 	confirmed bool
 	// doubted says that the balancer's own link is in doubt.
 	doubted bool
+	// relief says that most balancers that get callers' segments have a link much
+	// larger than this one's.
+	relief bool
+	load   linkLoad
 	// silent is the number of silent targets at the last tick.
 	silent int
 	// local, all and scratch are the working space of rank.
@@ -185,12 +197,13 @@
 	credited          time.Duration
 }
 
-// New returns an engine for a balancer in a zone that may send a number of
-// queries in a second; 0 does not bound them.
-func New(zone string, queryRate float64) *Engine {
+// New returns an engine for a balancer in a zone whose link carries a number of
+// bytes a second; 0 stands for a link without a bound.
+func New(zone string, linkRate float64) *Engine {
 	return &Engine{
 		zone:      zone,
-		queryRate: queryRate,
+		queryRate: linkRate * queryShare / querySize,
+		load:      newLinkLoad(linkRate),
 		records:   generations.New[segment.Flow, record](maxFlows),
 		searches:  make(map[segment.Flow]*search),
 	}
@@ -208,6 +221,10 @@
 // Searches returns the number of flows whose owner is searched.
 func (e *Engine) Searches() int { return len(e.searches) }
 
+// SetRelief says whether most balancers that get callers' segments have a link
+// much larger than this one's.
+func (e *Engine) SetRelief(relief bool) { e.relief = relief }
+
 // Doubted reports whether more than half of the targets are silent, so that the
 // balancer's own link is the likely cause.
 func (e *Engine) Doubted() bool { return e.doubted }
@@ -247,6 +264,7 @@
 // Segment decides on a segment that a caller sent.
 func (e *Engine) Segment(now time.Duration, head segment.Head) Verdict {
 	flow := head.FromCaller()
+	e.load.received(now, head, flow.Service)
 	switch {
 	case e.view == nil || e.view.Version == 0:
 		return Verdict{Reason: Unconfigured, Flow: flow}
@@ -288,6 +306,9 @@
 		// The network repeated the segment.
 		return one(Opened, flow, r.target, 0)
 	}
+	if !known && copyNumber == 0 && e.relief && e.load.overloadedBy(now, flow.Service) {
+		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
+	}
 	t := e.choose(now, route.Service(flow.Hash()), flow, func(t *Target) bool { return t == r.target })
 	if t == nil {
 		t = r.target
--- /dev/null
+++ b/internal/steering/linkload_test.go
@@ -0,0 +1,74 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/peridotstall/peridotstall/internal/registry"
+	"github.com/peridotstall/peridotstall/internal/segment"
+)
+
+var uploads = endpoint("198.18.0.2:443")
+
+// loaded returns an engine before a service and one for uploads, behind a link of
+// 1.25 MB/s, after callers have sent uploads at a rate in bytes a second for a time.
+func loaded(t *testing.T, rate float64, lasted time.Duration) *fixture {
+	f := newFixture(t, 6)
+	f.engine = New("z0", 1.25e6)
+	f.engine.SetRelief(true)
+	f.targets = append(f.targets, target(6, "store", "z0"), target(7, "store", "z0"))
+	config := routes(1, "web")
+	config.Routes = append(config.Routes, registry.Route{Endpoint: uploads, Shares: []registry.Share{{Service: "store", Weight: 1}}})
+	f.show(config, 1)
+	f.report()
+	f.upload(rate, lasted)
+	return f
+}
+
+// upload plays full segments of uploads and some small ones of the other service.
+func (f *fixture) upload(rate float64, lasted time.Duration) {
+	const size = 1200
+	interval := time.Duration(float64(time.Second) * (size + segmentOverhead) / rate)
+	for end := f.now + lasted; f.now < end; f.now += interval {
+		f.engine.Segment(f.now, segment.Head{Source: caller(1), Destination: uploads, DataLength: size})
+		f.engine.Segment(f.now, segment.Head{Source: caller(2), Destination: shop, DataLength: 20})
+	}
+	f.report()
+}
+
+func uploadOpening(i int, copyNumber uint32) segment.Head {
+	return segment.Head{Source: caller(i), Destination: uploads, Opening: true, Copy: copyNumber}
+}
+
+// Guards against uploads that fill the small link of one balancer while the
+// larger ones beside it are idle: nine of ten digests were lost on it, and the
+// callers of all services with them (scale-2 of ssa-subastas-grown, zone bog-norte:
+// worth 0.82).
+func TestHeavyFlowsLeaveALoadedLink(t *testing.T) {
+	f := loaded(t, 1e6, time.Second)
+	v := f.engine.Segment(f.now, uploadOpening(10, 0))
+	f.c.Check(v.Action, qt.Equals, Reset)
+	f.c.Check(v.Reason, qt.Equals, Diverted)
+	f.c.Check(f.engine.Segment(f.now, opening(11, 0)).Reason, qt.Equals, Opened, qt.Commentf("light flows stay"))
+	f.now += time.Second
+	f.c.Check(f.engine.Segment(f.now, uploadOpening(12, 0)).Reason, qt.Equals, Opened, qt.Commentf("the load is over"))
+}
+
+// Guards against flows that are turned away without need, without a place to go,
+// or although an earlier copy of their opening may be on its way to a target.
+func TestFlowsStayAtTheirBalancer(t *testing.T) {
+	f := loaded(t, 0.2e6, time.Second)
+	f.c.Check(f.engine.Segment(f.now, uploadOpening(10, 0)).Reason, qt.Equals, Opened, qt.Commentf("light load"))
+
+	f = loaded(t, 1e6, time.Second)
+	f.engine.SetRelief(false)
+	f.c.Check(f.engine.Segment(f.now, uploadOpening(10, 0)).Reason, qt.Equals, Opened, qt.Commentf("no larger balancer"))
+	f.engine.SetRelief(true)
+	f.c.Check(f.engine.Segment(f.now, uploadOpening(10, 0)).Reason, qt.Equals, Opened, qt.Commentf("known flow"))
+	f.c.Check(f.engine.Segment(f.now, uploadOpening(11, 1)).Reason, qt.Equals, Repeated)
+
+	f = loaded(t, 1e6, 10*time.Millisecond)
+	f.c.Check(f.engine.Segment(f.now, uploadOpening(10, 0)).Reason, qt.Equals, Opened, qt.Commentf("a short burst"))
+}
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -248,7 +248,6 @@
 		return Verdict{Reason: Overfull, Flow: flow}
 	}
 	s.refuse(from)
-	count := 1
 	if known && r.target.on(from) {
 		s.lost = true
 		e.records.Put(flow, record{openings: r.openings})
@@ -256,12 +255,11 @@
 			s.begin(now, []*Target{r.previous})
 			return ask(flow, s.asked)
 		}
-		count = maxFanout
 	}
 	if s.stage == begun {
 		return e.search(now, flow)
 	}
-	if next := e.nextTargets(now, s, flow, count); len(next) > 0 {
+	if next := e.nextTargets(now, s, flow, 1); len(next) > 0 {
 		s.begin(now, next)
 		return ask(flow, next)
 	}
