Entries of earlier lifetimes at an address are left out; only excess uploads are diverted

Nobody reports their load, so that they looked idle and the new lifetime at the same address got the flows of both: 41 requests pending at 4 slots. The newest lifetime on a host counts; the new test fails without. Ruled out: late starts of balancers (ready within 0.2 s), the tables (current within 20 ms of the start).

--- a/internal/explainlog/explainlog.go
+++ b/internal/explainlog/explainlog.go
@@ -88,6 +88,9 @@
 	// Beliefs are the changes of belief of the hosts involved, from shortly
 	// before to shortly after.
 	Beliefs []Line
+	// Others is the number of changes of targets that no decision names; they are
+	// not among the beliefs.
+	Others int
 	// Omitted is the number of lines that these hosts left out meanwhile, because
 	// of their limit, and said so.
 	Omitted int
@@ -98,6 +101,7 @@
 	telemetry.ProcessStarted.Number, telemetry.StopBegun.Number, telemetry.Stopped.Number, telemetry.RoutesAccepted.Number,
 	telemetry.TargetChanged.Number, telemetry.StoreUnreachable.Number, telemetry.StoreReachable.Number,
 	telemetry.OwnLinkDoubted.Number, telemetry.OwnLinkTrusted.Number, telemetry.TargetResponds.Number,
+	telemetry.TargetFailing.Number,
 }
 
 // Explain collects the story of a request, or of a flow when that is given in
@@ -115,11 +119,12 @@
 	if strings.Contains(request, ">") {
 		s.Flows = []string{request}
 	}
-	hosts := make(map[string]bool)
+	hosts, targets := make(map[string]bool), make(map[string]bool)
 	for _, l := range lines {
 		if slices.Contains(s.Flows, l.text("flow")) {
 			s.Lines = append(s.Lines, l)
 			hosts[l.Host] = true
+			targets[l.text("target")] = true
 		}
 	}
 	if len(s.Lines) == 0 {
@@ -135,7 +140,10 @@
 		if n, ok := l.Fields["omitted"].(float64); ok {
 			s.Omitted += int(n)
 		}
-		if slices.Contains(beliefs, l.Event) {
+		switch {
+		case l.Event == telemetry.TargetChanged.Number && !targets[l.text("target")]:
+			s.Others++
+		case slices.Contains(beliefs, l.Event):
 			s.Beliefs = append(s.Beliefs, l)
 		}
 	}
@@ -155,6 +163,9 @@
 	for _, l := range s.Beliefs {
 		writeLine(&b, l)
 	}
+	if s.Others > 0 {
+		fmt.Fprintf(&b, "\n%d changes of other targets are not shown\n", s.Others)
+	}
 	if s.Omitted > 0 {
 		fmt.Fprintf(&b, "\nthese hosts left out %d lines in this time\n", s.Omitted)
 	}
--- a/internal/explainlog/explainlog_test.go
+++ b/internal/explainlog/explainlog_test.go
@@ -14,6 +14,8 @@
 {"time":"2026-12-04T10:00:01.900Z","level":"warn","host":"a1","event":615,"name":"request_abandoned","request":"r1","flow":"1.1.1.1:5>2.2.2.2:80","waited":"890ms"}
 {"time":"2026-12-04T10:00:01.200Z","level":"warn","host":"a1","event":613,"name":"target_responds","responds":false,"pending":3}
 {"time":"2026-12-04T10:00:01.300Z","level":"warn","host":"a2","event":613,"name":"target_responds","responds":false,"pending":1}
+{"time":"2026-12-04T09:59:59.500Z","level":"info","host":"b1","event":221,"name":"target_changed","target":"t1","change":"added","revision":9,"source":"store"}
+{"time":"2026-12-04T09:59:59.500Z","level":"info","host":"b1","event":221,"name":"target_changed","target":"t2","change":"added","revision":9,"source":"store"}
 {"time":"2026-12-04T09:00:00.000Z","level":"info","host":"b1","event":220,"name":"routes_accepted","version":3}
 {"time":"2026-12-04T10:00:01.010Z","level":"info","host":"a2","event":614,"name":"request_handed","request":"r2","flow":"1.1.1.1:6>2.2.2.2:80","pending":3}
 `
@@ -38,9 +40,12 @@
   10:00:01.900  a1                     615 request_abandoned request=r1 flow=1.1.1.1:5>2.2.2.2:80 waited=890ms
 
 beliefs of the hosts involved
+  09:59:59.500  b1                     221 target_changed target=t1 change=added revision=9 source=store
   10:00:00.000  b1                     220 routes_accepted version=4 previous=3 routes=2 source=store
   10:00:01.200  a1                     613 target_responds responds=false pending=3
 
+1 changes of other targets are not shown
+
 these hosts left out 7 lines in this time
 `)
 	byFlow, err := Explain(lines, "1.1.1.1:6>2.2.2.2:80")
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -5,6 +5,7 @@
 package steering
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -54,6 +55,8 @@
 	// segment no longer keep further ones from being asked. It exceeds a round
 	// trip to any target and is below the shortest interval of retransmissions.
 	askInterval = 100 * time.Millisecond
+	// divertSalt separates the choice of diverted flows from that of targets.
+	divertSalt = 0x6469766572746564
 	// minGeneration is the least time for which an idle flow is remembered.
 	minGeneration = 15 * time.Second
 	// doubtShare is the share of silent targets above which the balancer doubts
@@ -306,7 +309,7 @@
 		// The network repeated the segment.
 		return one(Opened, flow, r.target, 0)
 	}
-	if !known && copyNumber == 0 && e.relief && e.load.overloadedBy(now, flow.Service) {
+	if !known && copyNumber == 0 && e.relief && e.divert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
 	}
 	t := e.choose(now, route.Service(flow.Hash()), flow, func(t *Target) bool { return t == r.target })
@@ -331,6 +334,13 @@
 	return one(reason, flow, t, 0)
 }
 
+// divert reports whether a new flow should go to another balancer. The hash of
+// the flow decides which part of the flows does.
+func (e *Engine) divert(now time.Duration, flow segment.Flow) bool {
+	excess := e.load.excess(now, flow.Service)
+	return excess > 0 && float64(mix(flow.Hash()^divertSalt)) < excess*math.MaxUint64
+}
+
 // Returned decides on a segment that a target or its agent handed back. From is
 // the agent's host; its target may have left the view.
 func (e *Engine) Returned(now time.Duration, from netip.Addr, head segment.Head) Verdict {
--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -234,6 +234,29 @@
 	f.c.Check(tried >= 3 && tried <= 5, qt.IsTrue, qt.Commentf("%d openings in 5 s", tried))
 }
 
+// Guards against an entry of an earlier lifetime at an address that has not lapsed:
+// nobody reports its load, so that it looked idle and the new lifetime got all new
+// flows (end of trouble-1 of ssa-subastas: 41 requests pending at 4 slots).
+func TestEarlierLifetimeAtAnAddressIsLeftOut(t *testing.T) {
+	for _, newerFirst := range []bool{false, true} {
+		f := newFixture(t, 4)
+		older, newer := f.targets[0], f.targets[0]
+		newer.ID, newer.Born = "t0b", older.Born+1000
+		if newerFirst {
+			f.targets = append([]registry.Target{newer, older}, f.targets[1:]...)
+		} else {
+			f.targets = append(f.targets, newer)
+		}
+		f.show(routes(1, "web"), 2)
+		f.c.Assert(f.engine.View().Targets(), qt.HasLen, 4)
+		for i := range 100 {
+			f.report()
+			f.c.Assert(f.first(opening(i, 0)).Info.ID, qt.Not(qt.Equals), older.ID)
+		}
+		f.c.Check(f.engine.View().Host(older.Address.Addr()).Info.ID, qt.Equals, "t0b")
+	}
+}
+
 // Guards against load that does not follow the agents' reports, and against all
 // openings between two reports going to one target.
 func TestLoadSpreads(t *testing.T) {
--- a/internal/steering/linkload.go
+++ b/internal/steering/linkload.go
@@ -15,7 +15,7 @@
 	// divertAbove is the share of the link's rate from which heavy flows go to
 	// larger balancers. Callers send up to 16 segments at once, so that a link
 	// loses some of them long before its mean rate is used up.
-	divertAbove = 0.35
+	divertAbove = 0.25
 	// heavyShare is the share of the received bytes from which the flows of a
 	// route are heavy: only they relieve the link.
 	heavyShare = 0.25
@@ -75,14 +75,18 @@
 	l.slot += time.Duration(slots) * loadSlot
 }
 
-// overloadedBy reports whether the link is loaded so much that flows of a route
-// should go elsewhere.
-func (l *linkLoad) overloadedBy(now time.Duration, route segment.Endpoint) bool {
+// excess returns the share of new flows of a route that should go elsewhere so
+// that the link is no longer overloaded; 0 if it is not.
+func (l *linkLoad) excess(now time.Duration, route segment.Endpoint) float64 {
 	if l.rate == 0 {
-		return false
+		return 0
 	}
 	if now-l.slot >= loadSlot {
 		l.turn(now)
 	}
-	return l.total > divertAbove*l.rate*loadSlot.Seconds() && l.mean[route] > heavyShare*l.total
+	allowed := divertAbove * l.rate * loadSlot.Seconds()
+	if l.total <= allowed || l.mean[route] <= heavyShare*l.total {
+		return 0
+	}
+	return min(1, (l.total-allowed)/l.mean[route])
 }
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -194,9 +194,13 @@
 		known = earlier.byHost
 		v.inheritFormer(earlier)
 	}
+	newest := newestByHost(table)
 	for i := range table.Targets {
 		info := table.Targets[i]
 		host := info.Address.Addr()
+		if newest[host] != i {
+			continue
+		}
 		t := known[host]
 		if t == nil || !t.Info.SameLife(&info) {
 			next := newTarget(now, info, agentPort)
@@ -213,6 +217,20 @@
 	return v
 }
 
+// newestByHost returns the place in the table of the newest lifetime on each
+// host. The entry of an earlier one stays until it lapses, and nothing reports its
+// load, so that it would look idle and attract the flows of its successor.
+func newestByHost(table registry.Table) map[netip.Addr]int {
+	newest := make(map[netip.Addr]int, len(table.Targets))
+	for i := range table.Targets {
+		host := table.Targets[i].Address.Addr()
+		if other, taken := newest[host]; !taken || table.Targets[i].Born > table.Targets[other].Born {
+			newest[host] = i
+		}
+	}
+	return newest
+}
+
 // patience returns the time after which an answer to a request of a route is of
 // little use.
 func patience(route *registry.Route) time.Duration {
