--- a/internal/steering/linkload.go
+++ b/internal/steering/linkload.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/segment"
@@ -54,20 +55,17 @@
 // turn ends the slot; slots without a segment count as empty ones.
 func (l *linkLoad) turn(now time.Duration) {
 	slots := int((now - l.slot) / loadSlot)
-	keep := loadKeep
-	for range min(slots-1, 32) {
-		keep *= loadKeep
-	}
-	l.total *= keep
+	empty := math.Pow(loadKeep, float64(slots-1))
+	l.total *= loadKeep * empty
 	for route, mean := range l.mean {
-		if mean *= keep; mean < 1 {
+		if mean *= loadKeep * empty; mean < 1 {
 			delete(l.mean, route)
 		} else {
 			l.mean[route] = mean
 		}
 	}
 	for route, bytes := range l.now {
-		share := (1 - loadKeep) * float64(bytes)
+		share := (1 - loadKeep) * empty * float64(bytes)
 		l.mean[route] += share
 		l.total += share
 	}
