Agents that know every flow of their target deny the others

An agent that has been there since the start of its target's lifetime, or for longer than a flow may be idle, now denies the flow in answer to a query, which counts as if the target had returned a segment. Ruled out: late starts (agents within 0.2 s, tables within 0.5 s), overload of the targets alone (pending is normal again from 39 s on, late answers go on to 44 s).

--- /dev/null
+++ b/internal/occupancy/knowledge_test.go
@@ -0,0 +1,45 @@
+package occupancy
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an agent that denies flows which its target holds from the time
+// before the agent, and against one that never denies any, so that each lost flow
+// is sent to all targets (end of trouble-1 of ssa-subastas-grown: 90,000 returned
+// segments a second).
+func TestKnowledge(t *testing.T) {
+	const start = 1_700_000_000_000
+	tests := []struct {
+		name string
+		born int64
+		idle time.Duration
+		now  time.Duration
+		want bool
+	}{
+		{"nothing learned", 0, 0, time.Hour, false},
+		{"target is older", start - 60_000, 12 * time.Second, 5 * time.Second, false},
+		{"longer than a flow is idle", start - 60_000, 12 * time.Second, 13 * time.Second, true},
+		{"target is newer", start + 2_000, 12 * time.Second, 3 * time.Second, true},
+		{"both began together", start - 200, 12 * time.Second, 3 * time.Second, true},
+		{"another agent may have been there", start - 500, 12 * time.Second, 3 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			k := NewKnowledge(time.Second, start)
+			k.Learn(test.born, test.idle)
+			qt.New(t).Check(k.Complete(test.now), qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against an older table of a balancer that hides the present lifetime.
+func TestNewestLifetimeCounts(t *testing.T) {
+	k := NewKnowledge(time.Second, 1000)
+	k.Learn(5000, time.Minute)
+	k.Learn(10, time.Minute)
+	qt.New(t).Check(k.Complete(2*time.Second), qt.IsTrue)
+}
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -99,6 +99,8 @@
 	tag   segment.Tag
 	slots int
 	flows *generations.Map[segment.Flow, flowState]
+	// overflowed says that a flow found no room.
+	overflowed bool
 
 	// openings are the accepted ones in the order of time.
 	openings []acceptedOpening
@@ -192,7 +194,9 @@
 			t.pending--
 		}
 	}
-	t.flows.Put(flow, after)
+	if !t.flows.Put(flow, after) {
+		t.overflowed = true
+	}
 }
 
 // Admit decides whether a segment from a balancer goes to the target.
@@ -349,6 +353,13 @@
 	return known && s.held
 }
 
+// Knows reports whether the tracker has seen a flow, or might have forgotten it
+// because there were too many.
+func (t *Tracker) Knows(flow segment.Flow) bool {
+	_, known := t.flows.Get(flow)
+	return known || t.overflowed
+}
+
 // FlowsOf returns at most limit flows that the target holds and that the balancer
 // with the given number sent segments of: the last one, or the one before another
 // balancer took the flow over while it was away.
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -78,6 +78,7 @@
 
 	mu        sync.Mutex
 	tracker   *occupancy.Tracker
+	knowledge occupancy.Knowledge
 	balancers []balancerRef
 	byHost    map[netip.Addr]uint8
 	reported  time.Duration
@@ -96,6 +97,7 @@
 		byHost: make(map[netip.Addr]uint8), ended: make(chan error, 3),
 		metrics: telemetry.NewSegmentMetrics("agent/" + options.Host),
 	}
+	a.knowledge = occupancy.NewKnowledge(a.clock.now(), time.Now().UnixMilli())
 	a.out = transmitter{options.Logger, a.metrics}
 	a.backend.Store(&options.Backend)
 	for _, s := range []struct {
@@ -324,9 +326,13 @@
 	}
 	a.mu.Lock()
 	holds := a.tracker.Holds(flow)
+	denies := m.Deny && !a.tracker.Knows(flow) && a.knowledge.Complete(a.clock.now())
 	a.mu.Unlock()
-	if holds {
+	switch {
+	case holds:
 		a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: m.Flow}}}, from)
+	case denies:
+		a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Denial{Denial: &schema.LinkDenial{Flow: m.Flow}}}, from)
 	}
 }
 
@@ -337,6 +343,7 @@
 	if segment.Tag(ping.ServiceTag) == a.tracker.Tag() {
 		a.tracker.SetSlots(int(ping.Slots))
 		a.tracker.SetPatience(time.Duration(ping.PatienceMs) * time.Millisecond)
+		a.knowledge.Learn(ping.BornUnixMs, time.Duration(ping.IdleMs)*time.Millisecond)
 	}
 	index, known := a.byHost[from.Addr()]
 	if !known {
@@ -385,7 +392,7 @@
 		MeanPendingMilli: uint32(a.tracker.Mean(now) * 1000),
 		Unresponsive:     a.tracker.Unresponsive(now),
 		Leaving:          a.last.GetLeaving(),
-		UptimeMs:         uint64(now / time.Millisecond),
+		Complete:         a.knowledge.Complete(now),
 		FailingMilli:     uint32(a.tracker.Failing(now) * 1000),
 	}
 	var to []netip.AddrPort
@@ -433,6 +440,7 @@
 	defer a.mu.Unlock()
 	if a.options.Service != service {
 		a.tracker = occupancy.New(service)
+		a.knowledge = occupancy.NewKnowledge(a.clock.now(), time.Now().UnixMilli())
 	}
 	a.options.Service = service
 	a.backend.Store(&backend)
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -32,8 +32,8 @@
 	meanSegment = 1200
 	// segmentCost is the processor time of forwarding one segment.
 	segmentCost = 25 * time.Microsecond
-	// maxOwners bounds the owner messages that wait for the forwarding task.
-	maxOwners = 1024
+	// maxWords bounds the messages of agents that wait for the forwarding task.
+	maxWords = 1024
 )
 
 // BalancerOptions are the settings of a balancer.
@@ -54,13 +54,16 @@
 	return uint32(min(o.LinkRate/meanSegment, o.Cores/segmentCost.Seconds(), math.MaxUint32))
 }
 
-// owners says that a target holds flows.
-type owners struct {
-	flows  []segment.Flow
+// word is what an agent says of flows.
+type word struct {
+	flows []segment.Flow
+	// target holds the flows; nil if they were denied.
 	target *steering.Target
 	// recalled says that this balancer forwarded them before it was restarted;
 	// otherwise they answer a search.
 	recalled bool
+	// denied is the host of an agent whose target does not hold the flows.
+	denied netip.Addr
 }
 
 // Balancer is the process that the fabric hands callers' segments to.
@@ -82,7 +85,7 @@
 	// relief says that most balancers in rotation have a much larger link.
 	relief atomic.Bool
 	doubt  atomic.Bool
-	owners chan owners
+	words  chan word
 	// held are segments whose owner is searched; they belong to the forwarding task.
 	held heldSegments
 	// lastPacket is the time of the last segment of a caller.
@@ -106,7 +109,7 @@
 func StartBalancer(options BalancerOptions) (*Balancer, error) {
 	b := &Balancer{
 		options: options, clock: newClock(), incarnation: rand.Uint64(), engine: steering.New(options.Zone, options.LinkRate),
-		owners: make(chan owners, maxOwners), held: newHeldSegments(), registry: registry.New(), ended: make(chan error, 3),
+		words: make(chan word, maxWords), held: newHeldSegments(), registry: registry.New(), ended: make(chan error, 3),
 		metrics: telemetry.NewSegmentMetrics("balancer/"+options.Host, steering.ReasonNames()...),
 	}
 	b.out = transmitter{options.Logger, b.metrics}
@@ -161,7 +164,7 @@
 		return
 	}
 	now := b.clock.now()
-	b.takeOwners(now)
+	b.takeWords(now)
 	var verdict steering.Verdict
 	if head.Returned {
 		b.metrics.Returned.Inc()
@@ -226,32 +229,51 @@
 	b.options.Logger.Log(event, fields...)
 }
 
-// takeOwners records the owners that agents named.
-func (b *Balancer) takeOwners(now time.Duration) {
-	for len(b.owners) > 0 {
-		o := <-b.owners
-		if o.recalled {
-			o.target.SetRecalled()
+// takeWords acts on what agents said of flows.
+func (b *Balancer) takeWords(now time.Duration) {
+	for len(b.words) > 0 {
+		w := <-b.words
+		if w.recalled {
+			w.target.SetRecalled()
 		}
-		for _, flow := range o.flows {
-			b.takeOwner(now, flow, o)
+		for _, flow := range w.flows {
+			if w.target == nil {
+				b.takeDenial(now, flow, w.denied)
+			} else {
+				b.takeOwner(now, flow, w)
+			}
 		}
 	}
 }
 
+// takeDenial answers the caller of a flow that no target holds.
+func (b *Balancer) takeDenial(now time.Duration, flow segment.Flow, from netip.Addr) {
+	verdict := b.engine.Denied(from, flow)
+	if verdict.Action != steering.Reset {
+		return
+	}
+	list := b.held.take(flow)
+	if len(list) == 0 {
+		return
+	}
+	if head, ok := b.options.Codec.Parse(list[0]); ok {
+		b.carryOut(now, list[0], head, &verdict)
+	}
+}
+
 // takeOwner records the owner of a flow and sends it the held segments.
-func (b *Balancer) takeOwner(now time.Duration, flow segment.Flow, o owners) {
-	if o.recalled {
-		b.engine.Recall(now, flow, o.target)
-	} else if found := b.engine.Owner(now, flow, o.target); found.Rounds > 0 {
+func (b *Balancer) takeOwner(now time.Duration, flow segment.Flow, w word) {
+	if w.recalled {
+		b.engine.Recall(now, flow, w.target)
+	} else if found := b.engine.Owner(now, flow, w.target); found.Rounds > 0 {
 		b.metrics.Search.Record(found.Waited)
 		if b.options.Logger.Allow(telemetry.FlowFound) {
-			b.options.Logger.Log(telemetry.FlowFound, "flow", flow.String(), "target", o.target.Info.ID,
+			b.options.Logger.Log(telemetry.FlowFound, "flow", flow.String(), "target", w.target.Info.ID,
 				"queries", found.Rounds, "waited", found.Waited.Round(time.Millisecond))
 		}
 	}
 	if !b.engine.Searching(flow) {
-		b.release(flow, o.target)
+		b.release(flow, w.target)
 	}
 }
 
@@ -260,7 +282,7 @@
 	if view := b.view.Load(); view != b.engine.View() {
 		b.engine.SetView(view)
 	}
-	b.takeOwners(now)
+	b.takeWords(now)
 	b.engine.SetRelief(b.relief.Load())
 	for _, flow := range b.engine.Tick(now, b.confirmed.Load()) {
 		b.held.take(flow)
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -26,6 +26,8 @@
 		b.load(message.GetLoad(), from)
 	case message.GetOwner() != nil:
 		b.owner(message.GetOwner(), from)
+	case message.GetDenial() != nil:
+		b.denial(message.GetDenial(), from)
 	case message.GetFlows() != nil:
 		b.recall(message.GetFlows(), from)
 	case message.GetDigest() != nil:
@@ -45,7 +47,7 @@
 	}
 	t.Report(b.clock.now(), steering.Report{
 		Pending: m.Pending, MeanPending: float64(m.MeanPendingMilli) / 1000, Failing: float64(m.FailingMilli) / 1000,
-		Unresponsive: m.Unresponsive, Leaving: m.Leaving, Uptime: time.Duration(m.UptimeMs) * time.Millisecond,
+		Unresponsive: m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete,
 	})
 }
 
@@ -60,7 +62,17 @@
 	if t == nil {
 		return
 	}
-	b.passOwners(owners{flows: []segment.Flow{flow}, target: t})
+	b.passWord(word{flows: []segment.Flow{flow}, target: t})
+}
+
+// denial passes on that a target does not hold a flow.
+func (b *Balancer) denial(m *schema.LinkDenial, from netip.AddrPort) {
+	flow, ok := segment.DecodeFlow(m.Flow)
+	if !ok {
+		b.metrics.Malformed.Inc()
+		return
+	}
+	b.passWord(word{flows: []segment.Flow{flow}, denied: from.Addr()})
 }
 
 // recall passes the flows that an agent remembers of this balancer on to the
@@ -74,19 +86,19 @@
 	if t == nil || t.Recalled() {
 		return
 	}
-	told := owners{target: t, recalled: true}
+	told := word{target: t, recalled: true}
 	for rest := m.Flows; len(rest) >= segment.FlowSize; rest = rest[segment.FlowSize:] {
 		if flow, ok := segment.DecodeFlow(rest[:segment.FlowSize]); ok {
 			told.flows = append(told.flows, flow)
 		}
 	}
-	b.passOwners(told)
+	b.passWord(told)
 }
 
-// passOwners hands the word of an agent to the forwarding task.
-func (b *Balancer) passOwners(o owners) {
+// passWord hands the word of an agent to the forwarding task.
+func (b *Balancer) passWord(w word) {
 	select {
-	case b.owners <- o:
+	case b.words <- w:
 	default:
 		// The next segment of the flow, or the next ping, is answered again.
 		b.metrics.Overruns.Inc()
@@ -172,7 +184,7 @@
 		b.out.message(b.link, &schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{
 			Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag),
 			PatienceMs:  uint64(view.Patience(t.Info.Service) / time.Millisecond),
-			FlowsWanted: !t.Recalled(),
+			FlowsWanted: !t.Recalled(), BornUnixMs: t.Info.Born, IdleMs: uint64(view.IdleLimit() / time.Millisecond),
 		}}}, b.agentLink(t))
 	}
 }
--- a/internal/segnode/held.go
+++ b/internal/segnode/held.go
@@ -58,7 +58,7 @@
 // query asks agents whether their target holds a flow.
 func (b *Balancer) query(verdict *steering.Verdict) {
 	encoded := verdict.Flow.Encode()
-	message := &schema.LinkMessage{Body: &schema.LinkMessage_Query{Query: &schema.LinkQuery{Flow: encoded[:]}}}
+	message := &schema.LinkMessage{Body: &schema.LinkMessage_Query{Query: &schema.LinkQuery{Flow: encoded[:], Deny: verdict.Deny()}}}
 	for _, t := range verdict.Agents() {
 		b.out.message(b.link, message, b.agentLink(t))
 	}
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -103,18 +103,17 @@
 }
 
 // nextTargets returns the next targets to probe for a flow's owner. Until all
-// agents had time to answer, these are the targets of young agents.
-func (e *Engine) nextTargets(now time.Duration, s *search, flow segment.Flow, count int) []*Target {
+// agents had time to answer, these are the targets whose agents do not know all
+// of their flows.
+func (e *Engine) nextTargets(s *search, flow segment.Flow, count int) []*Target {
 	return slices.Clone(e.rank(flow, e.view.servicesOf(flow.Service), func(t *Target) bool {
-		return !s.refusedBy(t) && !slices.Contains(s.asked, t) && (s.stage == probing || t.young(now, e.view.youngFor()))
+		return !s.refusedBy(t) && !slices.Contains(s.asked, t) && (s.stage == probing || !t.load.complete.Load())
 	}, count))
 }
 
-// queryTargets returns the targets from and below the given ranks, whose agents
-// are asked for a flow.
-func (e *Engine) queryTargets(flow segment.Flow, from, to int) []*Target {
-	list := e.rank(flow, e.view.servicesOf(flow.Service), func(*Target) bool { return true }, to)
-	return slices.Clone(list[min(from, len(list)):])
+// queryTargets returns the first targets whose agents are asked for a flow.
+func (e *Engine) queryTargets(flow segment.Flow, count int) []*Target {
+	return slices.Clone(e.rank(flow, e.view.servicesOf(flow.Service), func(*Target) bool { return true }, count))
 }
 
 // choose returns the least loaded of the first targets for a new flow, or nil.
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -23,7 +23,7 @@
 	// firstQueries is the number of agents that are asked for a flow first: its
 	// owner is among the first candidates unless those were busy.
 	firstQueries = 8
-	// maxQueries bounds the agents that are asked after them.
+	// maxQueries bounds the agents that are asked for a flow.
 	maxQueries = 256
 	// queryWait is the time that the first agents have to answer: three round
 	// trips to another zone of the region.
@@ -136,8 +136,13 @@
 	targets [maxFanout]*Target
 	count   int
 	agents  []*Target
+	deny    bool
 }
 
+// Deny reports whether agents are asked to deny the flow if their target does not
+// hold it.
+func (v *Verdict) Deny() bool { return v.deny }
+
 // Agents returns the targets whose agents are asked for the flow.
 func (v *Verdict) Agents() []*Target { return v.agents }
 
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -108,7 +108,7 @@
 	case s.stage == begun:
 		s.stage, s.rounds = asking, 1
 		e.schedule(s, flow, now+queryWait)
-		v := Verdict{Action: Query, Reason: Searching, Flow: flow, agents: e.queryTargets(flow, 0, firstQueries)}
+		v := Verdict{Action: Query, Reason: Searching, Flow: flow, agents: e.queryTargets(flow, firstQueries)}
 		e.spend(now, len(v.agents))
 		return v
 	case s.stage == probing && (len(s.asked) == 0 || now-s.askedAt >= askInterval):
@@ -121,7 +121,9 @@
 
 // step goes on with a search that no agent has answered: it queries agents, all
 // of them and the first candidates by turns, and sends the segment to the
-// targets of young agents. In the end it probes all targets.
+// targets whose agents do not know all of their flows. Agents that do know deny
+// the flow, which counts as if the target had returned a segment. In the end all
+// targets are probed.
 func (e *Engine) step(now time.Duration, s *search, flow segment.Flow) Verdict {
 	s.due = 0
 	if s.rounds >= maxRounds || s.lost && s.rounds > 1 {
@@ -132,16 +134,11 @@
 		return Verdict{Action: Hold, Reason: Searching, Flow: flow}
 	}
 	v := Verdict{Reason: Searching, Flow: flow}
-	switch {
-	case s.rounds == 1:
-		v.agents = e.queryTargets(flow, firstQueries, maxQueries)
-	case s.rounds%2 == 0:
-		v.agents = e.queryTargets(flow, 0, firstQueries)
-	default:
-		v.agents = e.queryTargets(flow, 0, maxQueries)
-	}
-	if s.rounds%2 == 1 {
-		s.begin(now, e.nextTargets(now, s, flow, maxFanout))
+	if s.rounds%2 == 0 {
+		v.agents = e.queryTargets(flow, firstQueries)
+	} else {
+		v.agents, v.deny = e.queryTargets(flow, maxQueries), true
+		s.begin(now, e.nextTargets(s, flow, maxFanout))
 		v.addAll(s.asked)
 	}
 	v.Action = Query
@@ -175,7 +172,7 @@
 		// A new round, because the list of targets may have changed.
 		s.refused = s.refused[:0]
 	}
-	s.begin(now, e.nextTargets(now, s, flow, maxFanout))
+	s.begin(now, e.nextTargets(s, flow, maxFanout))
 	return ask(flow, s.asked)
 }
 
@@ -259,7 +256,7 @@
 	if s.stage == begun {
 		return e.search(now, flow)
 	}
-	if next := e.nextTargets(now, s, flow, 1); len(next) > 0 {
+	if next := e.nextTargets(s, flow, 1); len(next) > 0 {
 		s.begin(now, next)
 		return ask(flow, next)
 	}
@@ -271,6 +268,21 @@
 	return e.ownerless(flow)
 }
 
+// Denied decides on a held segment of a flow after an agent that knows all flows
+// of its target has denied this one.
+func (e *Engine) Denied(from netip.Addr, flow segment.Flow) Verdict {
+	s := e.searches[flow]
+	if s == nil || s.stage == begun || e.view == nil {
+		return Verdict{Reason: Searching, Flow: flow}
+	}
+	s.refuse(from)
+	if !e.allRefused(s, flow) {
+		return Verdict{Reason: Searching, Flow: flow}
+	}
+	delete(e.searches, flow)
+	return e.ownerless(flow)
+}
+
 // allRefused reports whether every target that may hold a flow returned it.
 func (e *Engine) allRefused(s *search, flow segment.Flow) bool {
 	for _, name := range e.view.servicesOf(flow.Service) {
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -18,10 +18,9 @@
 	targetKey1 = 0x757374617267657a
 )
 
-// youngFor is the least time after the start of an agent in which its target may
-// hold flows that the agent does not know: callers pause between the requests of
-// a flow. A longer limit of idle flows extends it.
-const youngFor = 15 * time.Second
+// leastIdle is the least time that a flow is taken to be idle: callers pause
+// between the requests of a flow. A longer limit of the configuration extends it.
+const leastIdle = 15 * time.Second
 
 // SilentAfter is the time without a word of an agent after which its target
 // gets no new flows: three lost answers at the interval of pings.
@@ -38,8 +37,10 @@
 	// pending counts requests that run or wait, meanMilli is its mean over the
 	// last second in thousandths.
 	pending, meanMilli atomic.Uint32
-	// heard is the time of the last report, started that of the agent's start.
-	heard, started atomic.Int64
+	// heard is the time of the last report.
+	heard atomic.Int64
+	// complete says that the agent knows every flow of its target.
+	complete atomic.Bool
 	// ceased is the time at which the target stopped to respond.
 	ceased atomic.Int64
 	// reports counts the reports.
@@ -58,8 +59,8 @@
 	Failing      float64
 	Unresponsive bool
 	Leaving      bool
-	// Uptime is the time since the start of the agent.
-	Uptime time.Duration
+	// Complete says that the agent knows every flow of its target.
+	Complete bool
 }
 
 // Target is one lifetime of a target as a balancer sees it.
@@ -97,7 +98,7 @@
 	}
 	t.load.leaving.Store(r.Leaving)
 	t.load.heard.Store(int64(now))
-	t.load.started.Store(int64(now - r.Uptime))
+	t.load.complete.Store(r.Complete)
 	t.load.reports.Add(1)
 }
 
@@ -106,12 +107,6 @@
 	return now-time.Duration(t.load.heard.Load()) > SilentAfter
 }
 
-// young reports whether the agent was started less than a time ago, as far as is
-// known.
-func (t *Target) young(now, limit time.Duration) bool {
-	return t.load.reports.Load() == 0 || now-time.Duration(t.load.started.Load()) < limit
-}
-
 // ReportAge returns the time since the last report.
 func (t *Target) ReportAge(now time.Duration) time.Duration {
 	return now - time.Duration(t.load.heard.Load())
@@ -164,9 +159,8 @@
 // counts as failed; 0 if no route says.
 func (v *View) Patience(service string) time.Duration { return v.patience[service] }
 
-// youngFor returns the time after the start of an agent in which its target may
-// hold flows that it does not know.
-func (v *View) youngFor() time.Duration { return max(youngFor, v.IdleTimeout) }
+// IdleLimit returns the longest time that a flow may be idle.
+func (v *View) IdleLimit() time.Duration { return max(leastIdle, v.IdleTimeout) }
 
 // Host returns the target on a host, or nil.
 func (v *View) Host(host netip.Addr) *Target { return v.byHost[host] }
