--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -342,8 +342,10 @@
 	a.mu.Lock()
 	if segment.Tag(ping.ServiceTag) == a.tracker.Tag() {
 		a.tracker.SetSlots(int(ping.Slots))
-		a.tracker.SetPatience(time.Duration(ping.PatienceMs) * time.Millisecond)
-		a.knowledge.Learn(ping.BornUnixMs, time.Duration(ping.IdleMs)*time.Millisecond)
+		if target := ping.Target; target != nil {
+			a.tracker.SetPatience(time.Duration(target.PatienceMs) * time.Millisecond)
+			a.knowledge.Learn(target.BornUnixMs, time.Duration(target.IdleMs)*time.Millisecond)
+		}
 	}
 	index, known := a.byHost[from.Addr()]
 	if !known {
@@ -353,11 +355,11 @@
 	ref := &a.balancers[index]
 	ref.link, ref.pinged, ref.used = from, now, now
 	var flows []segment.Flow
-	if ping.FlowsWanted {
+	if ping.GetTarget().GetFlowsWanted() {
 		flows = a.tracker.FlowsOf(index, maxFlowsTold)
 	}
 	a.mu.Unlock()
-	if ping.FlowsWanted {
+	if ping.GetTarget().GetFlowsWanted() {
 		a.tellFlows(flows, from)
 	}
 }
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -21,6 +21,9 @@
 	// pingInterval is the time between two pings to an agent: three fit into
 	// the time after which its target is doubted.
 	pingInterval = 300 * time.Millisecond
+	// describeEvery is the number of pings after which an agent is told again what
+	// is published of its target: every 3 s, since it changes rarely.
+	describeEvery = 10
 	// quietStop is the time without a segment after which a stopping balancer
 	// ends: one and a half intervals of the fabric's readiness checks.
 	quietStop = 750 * time.Millisecond
@@ -95,9 +98,11 @@
 	peers    *peers.Set
 	registry *registry.Registry
 	pinged   time.Duration
-	pulling  bool
-	reading  context.CancelFunc
-	known    bool
+	// pings counts the rounds of pings; it belongs to the control task.
+	pings   int
+	pulling bool
+	reading context.CancelFunc
+	known   bool
 
 	tasks  sync.WaitGroup
 	ctx    context.Context
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -174,18 +174,25 @@
 	b.metrics.Targets.Set(int64(len(table.Targets)))
 }
 
-// ping asks all agents for their load.
+// ping asks all agents for their load. Some pings tell what is published of the
+// target, those to agents that have not answered yet always.
 func (b *Balancer) ping() {
 	view := b.view.Load()
 	if view == nil {
 		return
 	}
+	b.pings++
 	for _, t := range view.Targets() {
-		b.out.message(b.link, &schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{
-			Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag),
-			PatienceMs:  uint64(view.Patience(t.Info.Service) / time.Millisecond),
-			FlowsWanted: !t.Recalled(), BornUnixMs: t.Info.Born, IdleMs: uint64(view.IdleLimit() / time.Millisecond),
-		}}}, b.agentLink(t))
+		ping := &schema.LinkPing{Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag)}
+		if !t.Recalled() || b.pings%describeEvery == 0 {
+			ping.Target = &schema.LinkTarget{
+				PatienceMs:  uint64(view.Patience(t.Info.Service) / time.Millisecond),
+				BornUnixMs:  t.Info.Born,
+				IdleMs:      uint64(view.IdleLimit() / time.Millisecond),
+				FlowsWanted: !t.Recalled(),
+			}
+		}
+		b.out.message(b.link, &schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: ping}}, b.agentLink(t))
 	}
 }
 
--- a/internal/telemetry/segment_test.go
+++ b/internal/telemetry/segment_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"expvar"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"testing"
@@ -61,3 +62,74 @@
 	c.Check(figures.Search.N, qt.Equals, 1)
 	c.Check(figures.Search.Highest >= 29_000 && figures.Search.Highest <= 31_000, qt.IsTrue)
 }
+
+// BenchmarkDecisionLine measures a line of the log of decisions, and asking for
+// one that may not be written.
+func BenchmarkDecisionLine(b *testing.B) {
+	d, err := NewDecisions(io.Discard, "host", "edge-a-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer d.Close()
+	b.Run("written", func(b *testing.B) {
+		for b.Loop() {
+			d.Log(FlowPlaced, "flow", "100.64.0.1:40000>198.18.0.1:443", "reason", "opened", "copy", 0, "attempt", 0,
+				"target", "i-0123456789", "targets", 1, "pending", 2, "report_age", 40*time.Millisecond, "version", 7, "revision", 66)
+		}
+	})
+	b.Run("left out", func(b *testing.B) {
+		for range decisionsPerSecond {
+			d.Allow(FlowPlaced)
+		}
+		for b.Loop() {
+			d.Allow(FlowPlaced)
+		}
+	})
+}
+
+// stuckWriter blocks until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	out     strings.Builder
+}
+
+func (w *stuckWriter) Write(b []byte) (int, error) {
+	<-w.release
+	return w.out.Write(b)
+}
+
+// Guards against a log that holds up decisions while its output is stuck, against
+// a buffer that grows meanwhile, and against lines that are lost uncounted or at
+// the end of the process.
+func TestStuckOutputDoesNotBlock(t *testing.T) {
+	c := qt.New(t)
+	w := &stuckWriter{release: make(chan struct{})}
+	d, err := NewDecisions(w)
+	c.Assert(err, qt.IsNil)
+	const lines = 5000
+	for range lines {
+		d.Log(ProcessReady, "revision", 1)
+	}
+	time.Sleep(2 * flushInterval)
+	for range lines {
+		d.Log(ProcessReady, "revision", 1)
+	}
+	c.Check(len(d.out.lines) <= bufferedBytes, qt.IsTrue)
+	close(w.release)
+	time.Sleep(3 * flushInterval)
+	d.Log(Stopped)
+	d.Close()
+	written := strings.Count(w.out.String(), "\n")
+	c.Check(written < 2*lines, qt.IsTrue)
+	lost := 0
+	for _, line := range strings.Split(strings.TrimSpace(w.out.String()), "\n") {
+		var fields struct {
+			Lost int `json:"lost_lines"`
+		}
+		c.Assert(json.Unmarshal([]byte(line), &fields), qt.IsNil)
+		lost += fields.Lost
+	}
+	c.Check(lost+written, qt.Equals, 2*lines+1)
+	c.Check(w.out.String(), qt.Contains, `"name":"stopped"`)
+	d.Close()
+}
