--- a/internal/telemetry/decisions.go
+++ b/internal/telemetry/decisions.go
@@ -1,7 +1,6 @@
 package telemetry
 
 import (
-	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -18,13 +17,9 @@
 	// out are counted in the next one. With a dozen events it keeps a process
 	// below 100 kB of logs a second.
 	decisionsPerSecond = 40
-	// bufferedBytes bounds the lines that wait for the output: half a second at the
-	// highest rate.
-	bufferedBytes = 64 << 10
-	// flushInterval is the time for which lines are collected. Writing each line by
-	// itself took most of the time that the log costs; a process that is killed
-	// loses the lines of this time.
-	flushInterval = 100 * time.Millisecond
+	// bufferedLines is the number of lines that wait for the output: a quarter
+	// of a second at the highest rate.
+	bufferedLines = 256
 )
 
 // Decisions logs decisions and changes of belief. It bounds the lines of each
@@ -93,93 +88,57 @@
 // Close writes the lines that wait.
 func (d *Decisions) Close() { d.out.close() }
 
-// bufferedWriter collects lines for a task that writes them together. A line that
-// finds the buffer full is dropped and counted.
+// bufferedWriter hands lines to a task that writes them. A line that finds the
+// buffer full is dropped and counted.
 type bufferedWriter struct {
-	out  io.Writer
-	lost atomic.Int64
-	// filled wakes the task when the buffer was empty; closed ends it.
-	filled, closed chan struct{}
-	done           chan struct{}
-
-	mu    sync.Mutex
-	lines []byte
-	ended bool
+	lines chan []byte
+	lost  atomic.Int64
+	once  sync.Once
+	done  chan struct{}
+	// mu keeps Write from using the channel after close.
+	mu     sync.RWMutex
+	closed bool
 }
 
 func newBufferedWriter(w io.Writer) *bufferedWriter {
-	b := &bufferedWriter{out: w, filled: make(chan struct{}, 1), closed: make(chan struct{}), done: make(chan struct{})}
-	go b.run()
-	return b
-}
-
-// run writes what was collected for flushInterval, until the writer is closed.
-func (b *bufferedWriter) run() {
-	defer close(b.done)
-	for {
-		select {
-		case <-b.filled:
-		case <-b.closed:
-			b.flush()
-			return
-		}
-		timer := time.NewTimer(flushInterval)
-		select {
-		case <-timer.C:
-		case <-b.closed:
-			timer.Stop()
+	b := &bufferedWriter{lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	go func() {
+		defer close(b.done)
+		for line := range b.lines {
+			if _, err := w.Write(line); err != nil {
+				// There is no other place to report a failed log output to.
+				b.lost.Add(1)
+			}
 		}
-		b.flush()
-	}
-}
-
-// flush writes the collected lines.
-func (b *bufferedWriter) flush() {
-	b.mu.Lock()
-	lines := b.lines
-	b.lines = nil
-	b.mu.Unlock()
-	if len(lines) == 0 {
-		return
-	}
-	if _, err := b.out.Write(lines); err != nil {
-		// There is no other place to report a failed log output to.
-		b.lost.Add(int64(bytes.Count(lines, []byte("\n"))))
-	}
+	}()
+	return b
 }
 
 // room reports whether half of the buffer is free.
-func (b *bufferedWriter) room() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.lines) < bufferedBytes/2
-}
+func (b *bufferedWriter) room() bool { return len(b.lines) < cap(b.lines)/2 }
 
 // Write takes one line.
 func (b *bufferedWriter) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.ended || len(b.lines)+len(line) > bufferedBytes {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if b.closed {
 		b.lost.Add(1)
 		return len(line), nil
 	}
-	if len(b.lines) == 0 {
-		select {
-		case b.filled <- struct{}{}:
-		default:
-		}
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.lost.Add(1)
 	}
-	b.lines = append(b.lines, line...)
 	return len(line), nil
 }
 
 func (b *bufferedWriter) close() {
-	b.mu.Lock()
-	ended := b.ended
-	b.ended = true
-	b.mu.Unlock()
-	if !ended {
-		close(b.closed)
-	}
-	<-b.done
+	b.once.Do(func() {
+		b.mu.Lock()
+		b.closed = true
+		close(b.lines)
+		b.mu.Unlock()
+		<-b.done
+	})
 }
