A denial that decides nothing keeps its search; failed uploads count

Found on reading: a flow that all agents denied while the table was not confirmed lost its search but kept its held segments, which nothing dropped any more. An answer of several-segment requests that tells of a failure did not count against the target. Both tests fail without. Reports of agents have a plain name.

--- a/internal/occupancy/failures_test.go
+++ b/internal/occupancy/failures_test.go
@@ -75,6 +75,8 @@
 	tr.Delivered(2*ms, second, note, 0, nil)
 	tr.Tick(2 * time.Second)
 	c.Check(tr.Failing(2*time.Second), qt.Equals, 0.0)
+	tr.Answered(2*time.Second, fromTarget(2, segment.Head{DataLength: 500}), true)
+	c.Check(tr.Failing(2*time.Second) > 0, qt.IsTrue, qt.Commentf("an answer that tells of a failure counts"))
 }
 
 // Guards against counting one request twice: when it is overdue and again when
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -73,8 +73,9 @@
 	hasData bool
 	// request is the identifier of the last request.
 	request segment.RequestID
-	// counted says that the present request was counted as failed.
-	counted bool
+	// counted says that the present request was counted as failed, several that it
+	// has more than one segment.
+	counted, several bool
 	// sender is the balancer that sent the last segment, former the one before it.
 	sender, former uint8
 	// accepted says that the target accepted an opening; held that it has the
@@ -264,15 +265,13 @@
 		s.opening = false
 		s.dataEnd, s.hasData = head.DataEnd(), true
 		if s.asked == 0 || !s.held {
-			s.asked, s.counted = now, false
+			s.asked, s.counted, s.several = now, false, false
 		}
 		if request != nil {
 			s.request = segment.MakeRequestID(request)
 			t.failures.expect(flow, now)
 		} else {
-			// A request of several segments may lack one that the network lost,
-			// which says nothing about the target.
-			s.counted = true
+			s.several = true
 		}
 	}
 	if !head.Opening && s.accepted {
@@ -395,7 +394,10 @@
 		}
 	}
 	for _, flow := range t.failures.overdue(now) {
-		if s, known := t.flows.Get(flow); known && s.asked != 0 && !s.counted && now-s.asked >= t.failures.patience {
+		// A request of several segments may lack one that the network lost, which
+		// says nothing about the target.
+		s, known := t.flows.Get(flow)
+		if known && s.asked != 0 && !s.counted && !s.several && now-s.asked >= t.failures.patience {
 			s.counted = true
 			t.flows.Put(flow, s)
 			t.failures.record(now, true)
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -35,8 +35,8 @@
 	meanSegment = 1200
 	// segmentCost is the processor time of forwarding one segment.
 	segmentCost = 25 * time.Microsecond
-	// maxWords bounds the messages of agents that wait for the forwarding task.
-	maxWords = 1024
+	// maxReports bounds the messages of agents that wait for the forwarding task.
+	maxReports = 1024
 )
 
 // BalancerOptions are the settings of a balancer.
@@ -57,8 +57,8 @@
 	return uint32(min(o.LinkRate/meanSegment, o.Cores/segmentCost.Seconds(), math.MaxUint32))
 }
 
-// word is what an agent says of flows.
-type word struct {
+// flowReport is what an agent says of flows.
+type flowReport struct {
 	flows []segment.Flow
 	// target holds the flows; nil if they were denied.
 	target *steering.Target
@@ -86,9 +86,9 @@
 	// confirmed says that the view is the newest one.
 	confirmed atomic.Bool
 	// relief says that most balancers in rotation have a much larger link.
-	relief atomic.Bool
-	doubt  atomic.Bool
-	words  chan word
+	relief  atomic.Bool
+	doubt   atomic.Bool
+	reports chan flowReport
 	// held are segments whose owner is searched; they belong to the forwarding task.
 	held heldSegments
 	// lastPacket is the time of the last segment of a caller.
@@ -114,7 +114,7 @@
 func StartBalancer(options BalancerOptions) (*Balancer, error) {
 	b := &Balancer{
 		options: options, clock: newClock(), incarnation: rand.Uint64(), engine: steering.New(options.Zone, options.LinkRate),
-		words: make(chan word, maxWords), held: newHeldSegments(), registry: registry.New(), ended: make(chan error, 3),
+		reports: make(chan flowReport, maxReports), held: newHeldSegments(), registry: registry.New(), ended: make(chan error, 3),
 		metrics: telemetry.NewSegmentMetrics("balancer/"+options.Host, steering.ReasonNames()...),
 	}
 	b.out = transmitter{options.Logger, b.metrics}
@@ -169,7 +169,7 @@
 		return
 	}
 	now := b.clock.now()
-	b.takeWords(now)
+	b.takeReports(now)
 	var verdict steering.Verdict
 	if head.Returned {
 		b.metrics.Returned.Inc()
@@ -234,18 +234,18 @@
 	b.options.Logger.Log(event, fields...)
 }
 
-// takeWords acts on what agents said of flows.
-func (b *Balancer) takeWords(now time.Duration) {
-	for len(b.words) > 0 {
-		w := <-b.words
-		if w.recalled {
-			w.target.SetRecalled()
+// takeReports acts on what agents said of flows.
+func (b *Balancer) takeReports(now time.Duration) {
+	for len(b.reports) > 0 {
+		r := <-b.reports
+		if r.recalled {
+			r.target.SetRecalled()
 		}
-		for _, flow := range w.flows {
-			if w.target == nil {
-				b.takeDenial(now, flow, w.denied)
+		for _, flow := range r.flows {
+			if r.target == nil {
+				b.takeDenial(now, flow, r.denied)
 			} else {
-				b.takeOwner(now, flow, w)
+				b.takeOwner(now, flow, r)
 			}
 		}
 	}
@@ -267,18 +267,18 @@
 }
 
 // takeOwner records the owner of a flow and sends it the held segments.
-func (b *Balancer) takeOwner(now time.Duration, flow segment.Flow, w word) {
-	if w.recalled {
-		b.engine.Recall(now, flow, w.target)
-	} else if found := b.engine.Owner(now, flow, w.target); found.Rounds > 0 {
+func (b *Balancer) takeOwner(now time.Duration, flow segment.Flow, r flowReport) {
+	if r.recalled {
+		b.engine.Recall(now, flow, r.target)
+	} else if found := b.engine.Owner(now, flow, r.target); found.Rounds > 0 {
 		b.metrics.Search.Record(found.Waited)
 		if b.options.Logger.Allow(telemetry.FlowFound) {
-			b.options.Logger.Log(telemetry.FlowFound, "flow", flow.String(), "target", w.target.Info.ID,
+			b.options.Logger.Log(telemetry.FlowFound, "flow", flow.String(), "target", r.target.Info.ID,
 				"queries", found.Rounds, "waited", found.Waited.Round(time.Millisecond))
 		}
 	}
 	if !b.engine.Searching(flow) {
-		b.release(flow, w.target)
+		b.release(flow, r.target)
 	}
 }
 
@@ -287,7 +287,7 @@
 	if view := b.view.Load(); view != b.engine.View() {
 		b.engine.SetView(view)
 	}
-	b.takeWords(now)
+	b.takeReports(now)
 	b.engine.SetRelief(b.relief.Load())
 	for _, flow := range b.engine.Tick(now, b.confirmed.Load()) {
 		b.held.take(flow)
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -51,7 +51,7 @@
 	})
 }
 
-// owner passes the word of an agent on to the forwarding task.
+// owner passes on that a target holds a flow.
 func (b *Balancer) owner(m *schema.LinkOwner, from netip.AddrPort) {
 	flow, ok := segment.DecodeFlow(m.Flow)
 	view := b.view.Load()
@@ -62,7 +62,7 @@
 	if t == nil {
 		return
 	}
-	b.passWord(word{flows: []segment.Flow{flow}, target: t})
+	b.passReport(flowReport{flows: []segment.Flow{flow}, target: t})
 }
 
 // denial passes on that a target does not hold a flow.
@@ -72,7 +72,7 @@
 		b.metrics.Malformed.Inc()
 		return
 	}
-	b.passWord(word{flows: []segment.Flow{flow}, denied: from.Addr()})
+	b.passReport(flowReport{flows: []segment.Flow{flow}, denied: from.Addr()})
 }
 
 // recall passes the flows that an agent remembers of this balancer on to the
@@ -86,19 +86,19 @@
 	if t == nil || t.Recalled() {
 		return
 	}
-	told := word{target: t, recalled: true}
+	told := flowReport{target: t, recalled: true}
 	for rest := m.Flows; len(rest) >= segment.FlowSize; rest = rest[segment.FlowSize:] {
 		if flow, ok := segment.DecodeFlow(rest[:segment.FlowSize]); ok {
 			told.flows = append(told.flows, flow)
 		}
 	}
-	b.passWord(told)
+	b.passReport(told)
 }
 
-// passWord hands the word of an agent to the forwarding task.
-func (b *Balancer) passWord(w word) {
+// passReport hands the report of an agent to the forwarding task.
+func (b *Balancer) passReport(r flowReport) {
 	select {
-	case b.words <- w:
+	case b.reports <- r:
 	default:
 		// The next segment of the flow, or the next ping, is answered again.
 		b.metrics.Overruns.Inc()
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -39,13 +39,13 @@
 	// were added at askedAt.
 	asked   []*Target
 	askedAt time.Duration
-	// refused hosts returned a segment.
+	// refused hosts returned a segment, or their agents denied the flow.
 	refused []netip.Addr
 }
 
 func (s *search) refusedBy(t *Target) bool { return slices.Contains(s.refused, t.Agent.Addr()) }
 
-// refuse records that the agent on a host returned a segment.
+// refuse records that the target on a host does not hold the flow.
 func (s *search) refuse(from netip.Addr) {
 	s.asked = slices.DeleteFunc(s.asked, func(t *Target) bool { return t.on(from) })
 	if !slices.Contains(s.refused, from) {
@@ -279,11 +279,15 @@
 	if !e.allRefused(s, flow) {
 		return Verdict{Reason: Searching, Flow: flow}
 	}
-	delete(e.searches, flow)
-	return e.ownerless(flow)
+	v := e.ownerless(flow)
+	if v.Action == Reset {
+		delete(e.searches, flow)
+	}
+	return v
 }
 
-// allRefused reports whether every target that may hold a flow returned it.
+// allRefused reports whether every target that may hold a flow returned it, or its
+// agent denied it.
 func (e *Engine) allRefused(s *search, flow segment.Flow) bool {
 	for _, name := range e.view.servicesOf(flow.Service) {
 		for _, t := range e.view.services[name] {
--- a/internal/steering/search_test.go
+++ b/internal/steering/search_test.go
@@ -155,6 +155,9 @@
 	for i := range 3 {
 		f.c.Check(f.engine.Denied(f.at(i).Agent.Addr(), flowOf(1)).Action, qt.Equals, Drop)
 	}
+	// The search goes on, and its end tells the caller to drop the held segments.
+	f.c.Check(f.engine.Searching(flowOf(1)), qt.IsTrue)
+	f.c.Check(f.engine.Tick(f.now+2*searchLife, false), qt.DeepEquals, []segment.Flow{flowOf(1)})
 }
 
 // Guards against queries that fill a small link when many flows come over at
