--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -128,6 +128,34 @@
 	c.Check(Execute([]string{"node", "balancer"}, &out, &errOut), qt.Equals, exitSettings)
 }
 
+// Guards against a start on an address in use that does not name it, or that goes
+// on without it.
+func TestNodeBusyAddress(t *testing.T) {
+	c := qt.New(t)
+	for _, network := range []string{"udp", "tcp"} {
+		c.Run(network, func(c *qt.C) {
+			host, _ := nodeHost(c)
+			address := netip.AddrPortFrom(host.IP, host.Ports.Packets)
+			if network == "udp" {
+				socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+				c.Assert(err, qt.IsNil)
+				defer socket.Close()
+			} else {
+				address = netip.AddrPortFrom(host.IP, host.Ports.Ready)
+				listener, err := net.Listen("tcp4", address.String())
+				c.Assert(err, qt.IsNil)
+				defer listener.Close()
+			}
+			path := filepath.Join(c.TempDir(), "node.toml")
+			c.Assert(standin.WriteSettings(path, host), qt.IsNil)
+			c.Setenv(standin.SettingsVariable, path)
+			var out, errOut bytes.Buffer
+			c.Check(Execute([]string{"node", "agent"}, &out, &errOut), qt.Equals, 1)
+			c.Check(errOut.String(), qt.Contains, address.String())
+		})
+	}
+}
+
 // Guards against a check that accepts files which the processes refuse, or that
 // does not name the fault.
 func TestNodeCheck(t *testing.T) {
