One set of tasks for balancer and agent, one queue of flows in occupancy

Found on reading the change: run, Ended and the channel of errors stood twice in segnode, and accepted openings and awaited requests were the same queue of flows by time written twice. node check named a file twice in its faults; seen when it was tried as a new user. Behaviour is otherwise unchanged.

--- a/internal/cli/nodecheck.go
+++ b/internal/cli/nodecheck.go
@@ -32,7 +32,7 @@
 			for _, file := range args[1:] {
 				if err := check(c.OutOrStdout(), file); err != nil {
 					wrong++
-					fmt.Fprintf(c.OutOrStdout(), "%s: %v\n", file, err)
+					fmt.Fprintln(c.OutOrStdout(), err)
 				}
 			}
 			if wrong > 0 {
@@ -66,13 +66,13 @@
 	}
 	routes, faults, err := platform.ParseRoutes(content)
 	if err != nil {
-		return err
+		return errors.Wrap(err, file)
 	}
 	for _, fault := range faults {
 		fmt.Fprintf(out, "%s: route %s: %v\n", file, fault.Route, fault.Err)
 	}
 	if len(faults) > 0 {
-		return errors.Errorf("%d routes are not usable", len(faults))
+		return errors.Errorf("%s: %d routes are not usable", file, len(faults))
 	}
 	fmt.Fprintf(out, "%s: version %d, %d routes\n", file, routes.Version, len(routes.Routes))
 	return nil
--- a/internal/occupancy/failures.go
+++ b/internal/occupancy/failures.go
@@ -21,12 +21,6 @@
 	maxExpected = 1 << 14
 )
 
-// expected is a request whose answer is due a while after it was handed over.
-type expected struct {
-	flow segment.Flow
-	at   time.Duration
-}
-
 // failures keeps the share of a target's recent requests that failed. Only what
 // the target itself did counts, as seen on its own host: no link to a balancer or
 // a caller takes part in the verdict.
@@ -35,7 +29,7 @@
 	value    float64
 	updated  time.Duration
 	// awaited are requests in the order of time.
-	awaited []expected
+	awaited flowQueue
 }
 
 // record counts an outcome.
@@ -56,17 +50,6 @@
 // expect notes that a request was handed to the target.
 func (f *failures) expect(flow segment.Flow, now time.Duration) {
 	if len(f.awaited) < maxExpected {
-		f.awaited = append(f.awaited, expected{flow, now})
-	}
-}
-
-// overdue returns the flows whose requests were handed over longer ago than the
-// patience, and forgets them.
-func (f *failures) overdue(now time.Duration) []segment.Flow {
-	var flows []segment.Flow
-	for len(f.awaited) > 0 && now-f.awaited[0].at >= f.patience {
-		flows = append(flows, f.awaited[0].flow)
-		f.awaited = f.awaited[1:]
+		f.awaited = append(f.awaited, flowAt{flow, now})
 	}
-	return flows
 }
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -89,12 +89,25 @@
 	opening bool
 }
 
-// acceptedOpening is a flow that a target has accepted.
-type acceptedOpening struct {
+// flowAt is a flow to which something happened at a time.
+type flowAt struct {
 	flow segment.Flow
 	at   time.Duration
 }
 
+// flowQueue holds flows in the order of time.
+type flowQueue []flowAt
+
+// take removes and returns the flows that have waited for a time.
+func (q *flowQueue) take(now, waited time.Duration) []segment.Flow {
+	var flows []segment.Flow
+	for len(*q) > 0 && now-(*q)[0].at >= waited {
+		flows = append(flows, (*q)[0].flow)
+		*q = (*q)[1:]
+	}
+	return flows
+}
+
 // Tracker follows the flows of one target.
 type Tracker struct {
 	tag   segment.Tag
@@ -103,8 +116,8 @@
 	// overflowed says that a flow found no room.
 	overflowed bool
 
-	// openings are the accepted ones in the order of time.
-	openings []acceptedOpening
+	// openings are the accepted ones.
+	openings flowQueue
 
 	pending int
 	mean    float64
@@ -316,7 +329,7 @@
 	case head.Accepted:
 		if known && !s.opening && s.asked == 0 {
 			s.opening = true
-			t.openings = append(t.openings, acceptedOpening{flow, now})
+			t.openings = append(t.openings, flowAt{flow, now})
 		}
 		s.accepted = true
 	case head.Ended || head.Reset:
@@ -384,16 +397,14 @@
 
 // Tick forgets idle flows and openings without a request.
 func (t *Tracker) Tick(now time.Duration) {
-	for len(t.openings) > 0 && now-t.openings[0].at >= openingLife {
-		flow := t.openings[0].flow
-		t.openings = t.openings[1:]
+	for _, flow := range t.openings.take(now, openingLife) {
 		if s, known := t.flows.Get(flow); known && s.opening {
 			after := s
 			after.opening = false
 			t.change(now, flow, s, after)
 		}
 	}
-	for _, flow := range t.failures.overdue(now) {
+	for _, flow := range t.failures.awaited.take(now, t.failures.patience) {
 		// A request of several segments may lack one that the network lost, which
 		// says nothing about the target.
 		s, known := t.flows.Get(flow)
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -86,15 +86,14 @@
 	// silent and failing are what was last logged of the target.
 	silent, failing bool
 
-	tasks sync.WaitGroup
-	ended chan error
+	tasks
 }
 
 // StartAgent starts an agent.
 func StartAgent(options AgentOptions) (*Agent, error) {
 	a := &Agent{
 		options: options, clock: newClock(), tracker: occupancy.New(options.Service),
-		byHost: make(map[netip.Addr]uint8), ended: make(chan error, 3),
+		byHost: make(map[netip.Addr]uint8), tasks: newTasks(),
 		metrics: telemetry.NewSegmentMetrics("agent/" + options.Host),
 	}
 	a.knowledge = occupancy.NewKnowledge(a.clock.now(), time.Now().UnixMilli())
@@ -117,18 +116,6 @@
 	return a, nil
 }
 
-// run starts a task whose error ends the process.
-func (a *Agent) run(task func() error) {
-	a.tasks.Go(func() {
-		if err := task(); err != nil {
-			a.ended <- err
-		}
-	})
-}
-
-// Ended yields the error of a task that failed.
-func (a *Agent) Ended() <-chan error { return a.ended }
-
 // Ready reports whether the agent takes segments.
 func (a *Agent) Ready() bool { return true }
 
@@ -463,7 +450,7 @@
 	case <-ctx.Done():
 	}
 	a.close()
-	a.tasks.Wait()
+	a.group.Wait()
 	return a.tracker.Pending()
 }
 
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -104,17 +104,16 @@
 	reading context.CancelFunc
 	known   bool
 
-	tasks  sync.WaitGroup
+	tasks
 	ctx    context.Context
 	cancel context.CancelFunc
-	ended  chan error
 }
 
 // StartBalancer starts a balancer.
 func StartBalancer(options BalancerOptions) (*Balancer, error) {
 	b := &Balancer{
 		options: options, clock: newClock(), incarnation: rand.Uint64(), engine: steering.New(options.Zone, options.LinkRate),
-		reports: make(chan flowReport, maxReports), held: newHeldSegments(), registry: registry.New(), ended: make(chan error, 3),
+		reports: make(chan flowReport, maxReports), held: newHeldSegments(), registry: registry.New(), tasks: newTasks(),
 		metrics: telemetry.NewSegmentMetrics("balancer/"+options.Host, steering.ReasonNames()...),
 	}
 	b.out = transmitter{options.Logger, b.metrics}
@@ -138,18 +137,6 @@
 	return b, nil
 }
 
-// run starts a task whose error ends the process.
-func (b *Balancer) run(task func() error) {
-	b.tasks.Go(func() {
-		if err := task(); err != nil {
-			b.ended <- err
-		}
-	})
-}
-
-// Ended yields the error of a task that failed.
-func (b *Balancer) Ended() <-chan error { return b.ended }
-
 // Ready reports whether the fabric should hand segments to this balancer.
 func (b *Balancer) Ready() bool {
 	view := b.view.Load()
@@ -334,7 +321,7 @@
 			b.options.Logger.Log(telemetry.StateError, "error", err)
 		}
 	}
-	b.tasks.Wait()
+	b.group.Wait()
 	b.metrics.Close()
 	return 0
 }
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,8 @@
 	// maxDatagram is the largest datagram that is read, in bytes: the Ethernet
 	// payload of 1,500 leaves room for any segment and control message.
 	maxDatagram = 2048
+	// maxTasks is the number of errors that wait until the process ends.
+	maxTasks = 3
 	// tickInterval is the time between two ticks of a process. It bounds how
 	// late a decision that depends on time alone is taken.
 	tickInterval = 50 * time.Millisecond
@@ -58,6 +61,27 @@
 	Logger *telemetry.Decisions
 }
 
+// tasks are the goroutines of a process.
+type tasks struct {
+	group sync.WaitGroup
+	// failed takes the errors of those that failed.
+	failed chan error
+}
+
+func newTasks() tasks { return tasks{failed: make(chan error, maxTasks)} }
+
+// run starts a task whose error ends the process.
+func (t *tasks) run(task func() error) {
+	t.group.Go(func() {
+		if err := task(); err != nil {
+			t.failed <- err
+		}
+	})
+}
+
+// Ended yields the error of a task that failed.
+func (t *tasks) Ended() <-chan error { return t.failed }
+
 // clock returns the monotonic time since the start of the process.
 type clock struct{ start time.Time }
 
