node: apply a settings change made between the start and the first poll

A reload also read the file twice, so that content and settings could differ, and a SIGHUP before supervise ended the process. Change: the file is read once; the watcher starts from the bytes that the settings were parsed from, and a reload parses the bytes that it compared. Signals are handled from the first log line on. Result: TestChangeBeforeFirstPollIsApplied fails with the earlier reading and passes now.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -56,11 +56,15 @@
 			if err != nil {
 				return withExitStatus(exitInvalid, err)
 			}
-			settings, err := platform.ReadSettings(path, agent)
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return withExitStatus(exitInvalid, errors.Wrap(err, "read settings"))
+			}
+			settings, err := platform.ParseSettings(path, data, agent)
 			if err != nil {
 				return withExitStatus(exitInvalid, err)
 			}
-			r := &nodeRunner{path: path, role: name, agent: agent, settings: settings, metricsPort: metricsPort}
+			r := &nodeRunner{path: path, role: name, agent: agent, content: data, settings: settings, metricsPort: metricsPort}
 			return r.run(c.OutOrStdout())
 		},
 	}
@@ -71,8 +75,10 @@
 // nodeRunner runs a process of the segment mode, its readiness and metrics
 // listeners and the watcher of its settings file.
 type nodeRunner struct {
-	path, role  string
-	agent       bool
+	path, role string
+	agent      bool
+	// content is the content of the settings file that settings were parsed from.
+	content     []byte
 	settings    platform.Settings
 	metricsPort uint16
 }
@@ -115,6 +121,10 @@
 		return err
 	}
 	defer logger.Close()
+	// Handled from here on, because a SIGHUP without a handler ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	logger.Log(telemetry.ProcessStarted, "role", r.role, "zone", r.settings.Zone)
 	process, err := startNode(r.settings, r.agent, logger)
 	if err != nil {
@@ -133,7 +143,7 @@
 		}
 		defer metrics.Close()
 	}
-	return r.supervise(process, logger, failed)
+	return r.supervise(process, logger, signals, failed)
 }
 
 // serveMetrics serves the metrics of the process over HTTP in a new goroutine,
@@ -153,11 +163,8 @@
 
 // supervise returns when the process has ended or a signal has stopped it, and
 // applies changed settings to it until then.
-func (r *nodeRunner) supervise(process node, logger *telemetry.DecisionLog, failed <-chan error) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	watcher := newSettingsWatcher(r.path, r.agent, logger)
+func (r *nodeRunner) supervise(process node, logger *telemetry.DecisionLog, signals <-chan os.Signal, failed <-chan error) error {
+	watcher := &settingsWatcher{path: r.path, agent: r.agent, logger: logger, last: r.content}
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
@@ -189,17 +196,8 @@
 	path   string
 	agent  bool
 	logger *telemetry.DecisionLog
-	last   []byte
-}
-
-func newSettingsWatcher(path string, agent bool, logger *telemetry.DecisionLog) *settingsWatcher {
-	w := &settingsWatcher{path: path, agent: agent, logger: logger}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		logger.Log(telemetry.SettingsRejected, "error", err)
-	}
-	w.last = data
-	return w
+	// last is the content that was applied or rejected last.
+	last []byte
 }
 
 // reload reads the settings file if its content changed and applies the settings.
@@ -216,7 +214,7 @@
 		return
 	}
 	w.last = data
-	settings, err := platform.ReadSettings(w.path, w.agent)
+	settings, err := platform.ParseSettings(w.path, data, w.agent)
 	if err != nil {
 		w.logger.Log(telemetry.SettingsRejected, "error", err)
 		return
--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -19,6 +19,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/platform"
 	"github.com/peridotstall/peridotstall/platform/standin"
 )
 
@@ -113,6 +115,33 @@
 	c.Check(out.String(), qt.Contains, `"name":"stopped"`)
 }
 
+// Guards against a change of the settings file that is never applied because it comes
+// after the process has parsed the file and before its watcher first looks at it.
+func TestChangeBeforeFirstPollIsApplied(t *testing.T) {
+	c := qt.New(t)
+	host, _ := newNodeHost(c)
+	path := filepath.Join(c.TempDir(), "node.toml")
+	c.Assert(standin.WriteSettings(path, host), qt.IsNil)
+	content, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	settings, err := platform.ParseSettings(path, content, true)
+	c.Assert(err, qt.IsNil)
+	host.Service = "other"
+	c.Assert(standin.WriteSettings(path, host), qt.IsNil)
+	r := &nodeRunner{path: path, role: "agent", agent: true, content: content, settings: settings}
+	var out syncBuffer
+	logger, err := telemetry.NewDecisionLog(&out)
+	c.Assert(err, qt.IsNil)
+	process, err := startNode(settings, true, logger)
+	c.Assert(err, qt.IsNil)
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGHUP
+	signals <- syscall.SIGTERM
+	c.Assert(r.supervise(process, logger, signals, make(chan error)), qt.IsNil)
+	logger.Close()
+	c.Check(out.String(), qt.Contains, "settings_reloaded")
+}
+
 // Guards against invalid settings whose error does not name the field.
 func TestNodeNamesInvalidSetting(t *testing.T) {
 	c := qt.New(t)
