--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"net/netip"
+	"time"
 
 	"github.com/dchest/siphash"
 )
@@ -97,6 +98,9 @@
 	Sequence uint32
 	// DataLength is the number of payload bytes.
 	DataLength int
+	// Waited is the time since the balancer received the segment, if it could not decide
+	// on it at once. It is not part of the segment.
+	Waited time.Duration
 	// Mark holds 32 bits that balancers and agents set; a target returns it unchanged.
 	Mark uint32
 }
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -25,6 +25,9 @@
 	// target to its agent: one every 3 s, because the description rarely
 	// changes.
 	pingsPerDescription = 10
+	// unreportedPingTimeout is the time after a target appears for which its
+	// agent is pinged at every tick until it reports.
+	unreportedPingTimeout = 2 * time.Second
 	// stopIdleTimeout is the time without a caller's segment after which a
 	// stopping balancer ends: one and a half intervals of the fabric's
 	// readiness checks.
@@ -98,6 +101,11 @@
 	// held are segments of flows whose owner is being searched. It is used by
 	// the forwarding task only.
 	held heldSegments
+	// waiting are segments that wait for the view, in order of arrival;
+	// waitingRetried is the time of the last decision on them. Both are used by
+	// the forwarding task only.
+	waiting        []waitingSegment
+	waitingRetried time.Duration
 	// lastPacket is the time of the last segment from a caller.
 	lastPacket atomic.Int64
 
@@ -141,7 +149,7 @@
 		return nil, err
 	}
 	b.run(func() error {
-		return receive(b.packets, b.clock, b.handleSegment, b.tickForwarding, b.engine.NextDueSearch)
+		return receive(b.packets, b.clock, b.handleSegment, b.tickForwarding, b.nextDue)
 	})
 	b.run(func() error { return receive(b.link, b.clock, b.handleControl, b.tickControl, nil) })
 	return b, nil
@@ -167,6 +175,7 @@
 		return
 	}
 	now := b.clock.now()
+	b.updateView(now)
 	b.applyReports(now)
 	var verdict steering.Verdict
 	if head.Returned {
@@ -195,6 +204,10 @@
 	case steering.Query:
 		b.hold(verdict.Flow, data)
 		b.sendQuery(verdict)
+	case steering.Wait:
+		if !b.waitForView(now, data) {
+			b.metrics.Overruns.Inc()
+		}
 	case steering.Reset:
 		reset := b.options.Codec.Reset(data)
 		b.out.datagram(b.packets, reset, netip.AddrPortFrom(head.Source.AddrPort().Addr(), b.options.Packets.Port()))
@@ -281,12 +294,20 @@
 	}
 }
 
+// updateView gives the engine the newest view.
+func (b *Balancer) updateView(now time.Duration) {
+	if view := b.view.Load(); view != b.engine.View() {
+		b.engine.SetView(now, view)
+	}
+	if len(b.waiting) > 0 {
+		b.retryWaiting(now)
+	}
+}
+
 // tickForwarding runs in the forwarding task every tickInterval, or earlier
 // when a search is due.
 func (b *Balancer) tickForwarding(now time.Duration) {
-	if view := b.view.Load(); view != b.engine.View() {
-		b.engine.SetView(view)
-	}
+	b.updateView(now)
 	b.applyReports(now)
 	b.engine.SetDivert(b.divert.Load())
 	for _, flow := range b.engine.Tick(now, b.confirmed.Load()) {
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -162,6 +162,8 @@
 	b.sendDigests(now, due)
 	if pings {
 		b.sendPings()
+	} else {
+		b.pingUnreported(now)
 	}
 	b.pull(now)
 }
@@ -184,17 +186,37 @@
 	}
 	b.pings++
 	for _, t := range view.Targets() {
-		ping := &schema.LinkPing{Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag)}
-		if !t.FlowsRestored() || b.pings%pingsPerDescription == 0 {
-			ping.Target = &schema.LinkTarget{
-				PatienceMs:  uint64(view.AnswerTimeout(t.Info.Service) / time.Millisecond),
-				BornUnixMs:  t.Info.Born,
-				IdleMs:      uint64(view.IdleLimit() / time.Millisecond),
-				FlowsWanted: !t.FlowsRestored(),
-			}
+		b.sendPing(view, t, !t.FlowsRestored() || b.pings%pingsPerDescription == 0)
+	}
+}
+
+// pingUnreported pings the agents that have not reported yet, so that their
+// targets get new flows as soon as the agents have started.
+func (b *Balancer) pingUnreported(now time.Duration) {
+	view := b.view.Load()
+	if view == nil {
+		return
+	}
+	for _, t := range view.Targets() {
+		if !t.Reported() && t.ReportAge(now) < unreportedPingTimeout {
+			b.sendPing(view, t, true)
+		}
+	}
+}
+
+// sendPing requests a report from the agent of a target. Describe adds the
+// published data of the target.
+func (b *Balancer) sendPing(view *steering.View, t *steering.Target, describe bool) {
+	ping := &schema.LinkPing{Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag)}
+	if describe {
+		ping.Target = &schema.LinkTarget{
+			PatienceMs:  uint64(view.AnswerTimeout(t.Info.Service) / time.Millisecond),
+			BornUnixMs:  t.Info.Born,
+			IdleMs:      uint64(view.IdleLimit() / time.Millisecond),
+			FlowsWanted: !t.FlowsRestored(),
 		}
-		b.out.message(b.link, &schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: ping}}, b.agentLink(t))
 	}
+	b.out.message(b.link, &schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: ping}}, b.agentLink(t))
 }
 
 // agentLink returns the address at which the agent of a target receives control
@@ -264,6 +286,7 @@
 	if !accepted {
 		return
 	}
+	b.pingUnreported(now)
 	for _, c := range changes {
 		if b.options.Logger.Allow(telemetry.TargetChanged) {
 			b.options.Logger.Log(telemetry.TargetChanged, "target", c.ID, "change", c.Kind, "revision", table.Revision, "source", source)
--- a/internal/steering/bench_test.go
+++ b/internal/steering/bench_test.go
@@ -18,7 +18,7 @@
 		table.Targets = append(table.Targets, target(i, "web", fmt.Sprintf("z%d", i%15)))
 	}
 	e := New("z0", 0)
-	e.SetView(NewView(time.Second, nil, routes(1, "web"), table, agentPort))
+	e.SetView(time.Second, NewView(time.Second, nil, routes(1, "web"), table, agentPort))
 	e.Tick(time.Second, true)
 	return e
 }
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/generations"
@@ -62,6 +63,10 @@
 	// linkDoubtShare is the share of silent targets above which the balancer assumes a
 	// fault of its own link rather than of the targets.
 	linkDoubtShare = 0.5
+	// firstReportTimeout is the time after the first view for which openings wait for a
+	// report of any target of their service: some round trips to another zone. An agent
+	// that has not started yet loses the opening, which costs its caller 200 ms.
+	firstReportTimeout = 30 * time.Millisecond
 )
 
 // Action is what the balancer does with a segment.
@@ -79,6 +84,8 @@
 	Query
 	// Reset answers the caller with a reset.
 	Reset
+	// Wait buffers the segment and decides again when the view or a report changed.
+	Wait
 )
 
 // Reason is the cause of a verdict. It appears in logs and metrics.
@@ -114,12 +121,15 @@
 	Diverted
 	// NotFromCaller: callers do not send this kind of segment.
 	NotFromCaller
+	// Unreported: no target of the service has reported yet, shortly after the start of
+	// the balancer.
+	Unreported
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"known", "opened", "repeated", "passed_on", "searching", "unconfigured", "no_route",
-	"no_target", "refused", "ownerless", "overfull", "diverted", "irrelevant",
+	"no_target", "refused", "ownerless", "overfull", "diverted", "irrelevant", "unreported",
 }
 
 // String returns the name used in logs and metrics.
@@ -182,6 +192,8 @@
 type Engine struct {
 	zone string
 	view *View
+	// viewSince is the time of the first view; 0 before it.
+	viewSince time.Duration
 	// records holds a flow until it has been idle for a whole generation.
 	records  *generations.Map[segment.Flow, record]
 	searches map[segment.Flow]*search
@@ -220,7 +232,17 @@
 }
 
 // SetView replaces the view of routes and targets.
-func (e *Engine) SetView(v *View) { e.view = v }
+func (e *Engine) SetView(now time.Duration, v *View) {
+	e.view = v
+	if e.viewSince == 0 && e.configured() {
+		e.viewSince = now
+	}
+}
+
+// configured reports whether routes and targets have been received.
+func (e *Engine) configured() bool {
+	return e.view != nil && e.view.Version != 0 && e.view.Revision != 0
+}
 
 // View returns the view in use; nil before the first SetView.
 func (e *Engine) View() *View { return e.view }
@@ -276,8 +298,8 @@
 	flow := head.FromCaller()
 	e.load.add(now, head, flow.Service)
 	switch {
-	case e.view == nil || e.view.Version == 0:
-		return Verdict{Reason: Unconfigured, Flow: flow}
+	case !e.configured():
+		return Verdict{Action: Wait, Reason: Unconfigured, Flow: flow}
 	case head.Opening && head.Accepted:
 		return Verdict{Reason: NotFromCaller, Flow: flow}
 	case head.Opening:
@@ -319,7 +341,11 @@
 	if !known && copyNumber == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
 	}
-	t := e.choose(now, route.Service(flow.Hash()), flow, func(t *Target) bool { return t == r.target })
+	service := route.Service(flow.Hash())
+	if now-e.viewSince < firstReportTimeout && !e.anyReported(service) {
+		return Verdict{Action: Wait, Reason: Unreported, Flow: flow}
+	}
+	t := e.choose(now, service, flow, func(t *Target) bool { return t == r.target })
 	if t == nil {
 		t = r.target
 	}
@@ -341,6 +367,13 @@
 	return forwardTo(reason, flow, t, 0)
 }
 
+// anyReported reports whether any target of a service has reported, or the service has
+// no targets.
+func (e *Engine) anyReported(service string) bool {
+	targets := e.view.services[service]
+	return len(targets) == 0 || slices.ContainsFunc(targets, (*Target).Reported)
+}
+
 // shouldDivert reports whether a new flow should go to another balancer. The hash of
 // the flow selects the diverted share.
 func (e *Engine) shouldDivert(now time.Duration, flow segment.Flow) bool {
--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -58,12 +58,13 @@
 	}
 	f.setView(routes(1, "web"), 1)
 	f.reportIdle()
+	f.now += firstReportTimeout
 	return f
 }
 
 func (f *fixture) setView(r registry.Routes, revision uint64) {
 	table := registry.Table{Revision: revision, Targets: f.targets}
-	f.engine.SetView(NewView(f.now, f.engine.View(), r, table, agentPort))
+	f.engine.SetView(f.now, NewView(f.now, f.engine.View(), r, table, agentPort))
 	f.engine.Tick(f.now, true)
 }
 
@@ -404,3 +405,33 @@
 	f.targetOf(2).Report(f.now, Report{Complete: true, Failing: 0.4})
 	f.c.Check(f.firstTarget(segment.Head{Source: caller(1), Destination: shop, Opening: true}), qt.Equals, f.targetOf(2))
 }
+
+// Guards against openings that are dropped, or sent to agents that have not started,
+// right after a restart of all processes: their callers lose the 200 ms until the next
+// copy, and with them their latency objective.
+func TestOpeningsWaitAfterStart(t *testing.T) {
+	c := qt.New(t)
+	f := &fixture{c: c, engine: New("z0", 0), now: time.Second}
+	c.Check(f.engine.Segment(f.now, opening(1, 0)).Action, qt.Equals, Wait, qt.Commentf("no view"))
+	for i := range 6 {
+		f.targets = append(f.targets, target(i, "web", fmt.Sprintf("z%d", i%2)))
+	}
+	f.setView(routes(1, "web"), 1)
+	v := f.engine.Segment(f.now, opening(1, 0))
+	c.Check(v.Action, qt.Equals, Wait, qt.Commentf("no report"))
+	c.Check(v.Reason, qt.Equals, Unreported)
+	reported := f.targetOf(3)
+	reported.Report(f.now, Report{})
+	for i := range 50 {
+		c.Check(f.firstTarget(opening(i, 0)), qt.Equals, reported)
+	}
+}
+
+// Guards against openings that wait without end for reports when the control messages
+// of all agents are lost.
+func TestOpeningsDoNotWaitForLostReports(t *testing.T) {
+	f := &fixture{c: qt.New(t), engine: New("z0", 0), now: time.Second, targets: []registry.Target{target(1, "web", "z0")}}
+	f.setView(routes(1, "web"), 1)
+	f.now += firstReportTimeout
+	f.c.Check(f.firstTarget(opening(1, 0)), qt.Equals, f.targetOf(0))
+}
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -107,6 +107,9 @@
 	return now-time.Duration(t.load.lastReport.Load()) > ReportTimeout
 }
 
+// Reported reports whether the target's agent has sent a report.
+func (t *Target) Reported() bool { return t.load.reportCount.Load() > 0 }
+
 // ReportAge returns the time since the last report.
 func (t *Target) ReportAge(now time.Duration) time.Duration {
 	return now - time.Duration(t.load.lastReport.Load())
