--- a/internal/cli/nodecheck.go
+++ b/internal/cli/nodecheck.go
@@ -71,7 +71,7 @@
 		fmt.Fprintf(out, "%s: route %s: %v\n", file, fault.Route, fault.Err)
 	}
 	if len(faults) > 0 {
-		return errors.Errorf("%s: %d routes are not usable", file, len(faults))
+		return errors.Errorf("%s: %d faults in routes", file, len(faults))
 	}
 	fmt.Fprintf(out, "%s: version %d, %d routes\n", file, routes.Version, len(routes.Routes))
 	return nil
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -12,6 +12,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/capacity"
 	"github.com/peridotstall/peridotstall/internal/checkcmd"
+	"github.com/peridotstall/peridotstall/internal/loadmodel"
 )
 
 // Exit statuses of the program.
@@ -92,6 +93,7 @@
 		newCompare(),
 		checkcmd.NewCommand(),
 		capacity.NewCommand(),
+		loadmodel.NewCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/loadmodel/patterns.go
@@ -0,0 +1,121 @@
+package loadmodel
+
+import (
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/occupancy"
+	"github.com/peridotstall/peridotstall/internal/steering"
+)
+
+// Classes of the patterns. A write is urgent and must not run twice, a read is less urgent.
+const (
+	Read  = "read"
+	Write = "write"
+)
+
+// Pattern is a named load.
+type Pattern struct {
+	Name string
+	// Load describes it in a few words.
+	Load   string
+	change func(*Config)
+}
+
+// Patterns returns the loads that the policies are made for.
+func Patterns() []Pattern {
+	return []Pattern{
+		{"steady", "half of the capacity", func(*Config) {}},
+		{"restart", "all processes are down for 1.3 s at 0.45 of the capacity", func(c *Config) {
+			c.DownFrom, c.DownTo, c.StartSpread = 3*time.Second, 4300*time.Millisecond, 150*time.Millisecond
+			c.scale(0.9)
+		}},
+		{"restart-loaded", "all processes are down for 1.3 s at 0.8 of the capacity", func(c *Config) {
+			c.DownFrom, c.DownTo, c.StartSpread = 3*time.Second, 4300*time.Millisecond, 150*time.Millisecond
+			c.scale(1.6)
+		}},
+		{"burst", "four times the reads for 3 s", func(c *Config) {
+			c.Surges = []Surge{{Read, 3 * time.Second, 6 * time.Second, 4}}
+		}},
+		{"urgent-burst", "six times the writes for 3 s", func(c *Config) {
+			c.Surges = []Surge{{Write, 3 * time.Second, 6 * time.Second, 6}}
+		}},
+		{"overload", "1.6 times the capacity all day", func(c *Config) { c.scale(3.2) }},
+		{"cold", "half of the targets cold until 4 s, at 0.85 of the capacity", func(c *Config) {
+			for i := range c.Targets {
+				if i%2 == 0 {
+					c.Targets[i].ColdUntil = 4 * time.Second
+				}
+			}
+			c.scale(1.7)
+		}},
+		{"slow-target", "one target at a quarter of its speed, at 0.8 of the capacity", func(c *Config) {
+			c.Targets[3].Speed /= 4
+			c.scale(1.6)
+		}},
+		{"retry-storm", "1.3 times the capacity, failed tries come back after 20 ms", func(c *Config) {
+			c.RetryDelay = 20 * time.Millisecond
+			c.scale(2.6)
+		}},
+		{"shift", "all openings through the balancers of one zone from 2 s on", func(c *Config) {
+			c.CallerZone, c.ShiftAt = 0, 2*time.Second
+			c.scale(1.6)
+		}},
+	}
+}
+
+// Named returns the pattern with a name; false if there is none.
+func Named(name string) (Pattern, bool) {
+	for _, p := range Patterns() {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Pattern{}, false
+}
+
+// Config returns the configuration of a run of the pattern with all mechanisms.
+func (p Pattern) Config(seed uint64) Config {
+	c := Config{
+		Classes: []Class{
+			{Name: Read, Rate: 360, Work: 30 * time.Millisecond, Objective: 150 * time.Millisecond, Timeout: time.Second, Priority: 2, Retries: 2},
+			{Name: Write, Rate: 100, Work: 39 * time.Millisecond, Objective: 200 * time.Millisecond, Timeout: 1200 * time.Millisecond, Priority: 1, Retries: 2},
+		},
+		Balancers: 6, Duration: 8 * time.Second, RetryDelay: 100 * time.Millisecond, CallerZone: -1,
+		Admission: occupancy.DefaultPolicy(), Choice: steering.DefaultPolicy(), Seed: seed,
+	}
+	for _, speed := range []float64{0.8, 0.8, 1.6, 0.8, 0.8, 1.6, 0.8} {
+		c.Targets = append(c.Targets, Target{Speed: speed, Slots: 4, Queue: 16})
+	}
+	p.change(&c)
+	return c
+}
+
+// scale multiplies the rate of all classes.
+func (c *Config) scale(factor float64) {
+	for i := range c.Classes {
+		c.Classes[i].Rate *= factor
+	}
+}
+
+// Capacity returns the number of mean requests per second that the targets can serve at
+// best, in the mixture of the classes.
+func (c *Config) Capacity() float64 {
+	slots, rate, work := 0.0, 0.0, 0.0
+	for _, t := range c.Targets {
+		slots += float64(t.Slots) * t.Speed
+	}
+	for _, class := range c.Classes {
+		rate += class.Rate
+		work += class.Rate * class.Work.Seconds()
+	}
+	return slots * rate / work
+}
+
+// Offered returns the number of requests per second that callers begin outside surges.
+func (c *Config) Offered() float64 {
+	rate := 0.0
+	for _, class := range c.Classes {
+		rate += class.Rate
+	}
+	return rate
+}
--- a/internal/occupancy/failures_test.go
+++ b/internal/occupancy/failures_test.go
@@ -15,16 +15,16 @@
 	for _, outcome := range outcomes {
 		port++
 		t.Delivered(now, opening(port), mark, 0, nil)
-		t.Answered(now, fromTarget(port, segment.Head{Opening: true, Accepted: true}), false)
+		t.Answered(now, fromTarget(port, segment.Head{Opening: true, Accepted: true}), Succeeded)
 		t.Delivered(now, request(port), mark, 0, []byte("id"))
 		now += 30 * ms
 		switch outcome {
 		case "ok":
-			t.Answered(now, fromTarget(port, segment.Head{DataLength: 500}), false)
+			t.Answered(now, fromTarget(port, segment.Head{DataLength: 500}), Succeeded)
 		case "error":
-			t.Answered(now, fromTarget(port, segment.Head{DataLength: 500}), true)
+			t.Answered(now, fromTarget(port, segment.Head{DataLength: 500}), Failed)
 		case "reset":
-			t.Answered(now, fromTarget(port, segment.Head{Reset: true}), false)
+			t.Answered(now, fromTarget(port, segment.Head{Reset: true}), Succeeded)
 		case "silent":
 		}
 		t.Tick(now)
@@ -67,14 +67,14 @@
 	openFlow(tr, ms, 1)
 	first := request(2)
 	tr.Delivered(ms, opening(2), mark, 0, nil)
-	tr.Answered(ms, fromTarget(2, segment.Head{Opening: true, Accepted: true}), false)
+	tr.Answered(ms, fromTarget(2, segment.Head{Opening: true, Accepted: true}), Succeeded)
 	tr.Delivered(ms, first, mark, 0, []byte("id"))
 	second := first
 	second.Sequence = first.DataEnd() + 1200
 	tr.Delivered(2*ms, second, mark, 0, nil)
 	tr.Tick(2 * time.Second)
 	c.Check(tr.Failing(2*time.Second), qt.Equals, 0.0)
-	tr.Answered(2*time.Second, fromTarget(2, segment.Head{DataLength: 500}), true)
+	tr.Answered(2*time.Second, fromTarget(2, segment.Head{DataLength: 500}), Failed)
 	c.Check(tr.Failing(2*time.Second) > 0, qt.IsTrue, qt.Commentf("an answer that reports a failure counts"))
 }
 
@@ -88,6 +88,6 @@
 	tr.Tick(now + 400*ms)
 	once := tr.Failing(now + 400*ms)
 	c.Check(once > 0, qt.IsTrue)
-	tr.Answered(now+400*ms, fromTarget(1, segment.Head{DataLength: 500}), true)
+	tr.Answered(now+400*ms, fromTarget(1, segment.Head{DataLength: 500}), Failed)
 	c.Check(tr.Failing(now+400*ms), qt.Equals, once)
 }
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -22,15 +22,13 @@
 	// probeInterval is the time between openings that an unresponsive target gets
 	// nevertheless, to detect its recovery.
 	probeInterval = 300 * time.Millisecond
-	// maxLoadRetries is the number of times that an opening is refused because of load;
-	// after that the next target takes it even if it is busy.
-	maxLoadRetries = 2
-	// maxQueuePerSlot is the number of waiting requests per slot from which openings
-	// are refused.
-	maxQueuePerSlot = 1.0
 	// openingTTL is the time for which an accepted opening counts as pending before its
 	// first request: a round trip to the caller and a margin.
 	openingTTL = 300 * time.Millisecond
+	// pendingTimeoutFactor is the number of answer timeouts after which a request without
+	// an answer no longer counts as pending: its caller has given up, and the target may
+	// have lost it.
+	pendingTimeoutFactor = 4
 	// flowTTL is the minimum time for which an idle flow is kept: the longest
 	// time that users keep a flow open.
 	flowTTL = 60 * time.Second
@@ -51,7 +49,8 @@
 	WrongService
 	// Unresponsive: the target does not respond.
 	Unresponsive
-	// Busy: all slots are taken and requests are waiting.
+	// Busy: the answer would come after the latency objective, or would delay requests
+	// that can meet theirs.
 	Busy
 	// Leaving: the agent is shutting down.
 	Leaving
@@ -62,6 +61,9 @@
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return refusalNames[r] }
 
+// RefusalNames returns the names of all results of admission in numeric order.
+func RefusalNames() []string { return refusalNames[:] }
+
 // flowState is what the agent has observed of a flow.
 type flowState struct {
 	// requestedAt is the time of the first data of a request without an answer, or of
@@ -69,6 +71,15 @@
 	requestedAt time.Duration
 	// openedAt is the time of the first copy of the opening; 0 after the first answer.
 	openedAt time.Duration
+	// acceptedAt is the time at which the target accepted the opening.
+	acceptedAt time.Duration
+	// startedAt is the time at which the target is expected to have started the request;
+	// 0 if there is none or it waits for a slot.
+	startedAt time.Duration
+	// expected is the expected time from the request to its answer, waited the actual
+	// one, served the part of it in a slot; 0 if the request is not expected to have
+	// started.
+	expected, waited, served time.Duration
 	// dataEnd is the sequence number after the last data of the caller, valid if
 	// hasData.
 	dataEnd uint32
@@ -81,6 +92,9 @@
 	// sender is the number of the balancer that sent the last segment; previousSender
 	// is that of the balancer before it.
 	sender, previousSender uint8
+	// outcomeDue is set between the first segment of an answer and the one that holds its
+	// status.
+	outcomeDue bool
 	// accepted is set if the target accepted an opening; held is set if it holds the
 	// flow: it sent a segment of the flow or did not return one.
 	accepted, held bool
@@ -114,14 +128,14 @@
 
 // Tracker tracks the flows of one target.
 type Tracker struct {
-	tag   segment.Tag
-	slots int
-	flows *generations.Map[segment.Flow, flowState]
+	policy Policy
+	tag    segment.Tag
+	flows  *generations.Map[segment.Flow, flowState]
 	// overflowed is set once a flow could not be recorded because the map was full.
 	overflowed bool
 
-	// openings holds accepted openings.
-	openings flowQueue
+	// openings holds accepted openings, begun requests that were sent to the target.
+	openings, begun flowQueue
 
 	pending int
 	mean    float64
@@ -134,15 +148,22 @@
 	leaving         bool
 
 	failures failures
+	work     work
+	level    level
 }
 
 // New returns a tracker for a target of the given service.
-func New(service string) *Tracker {
+func New(service string) *Tracker { return NewWithPolicy(service, DefaultPolicy()) }
+
+// NewWithPolicy returns a tracker with some of its mechanisms switched off.
+func NewWithPolicy(service string, policy Policy) *Tracker {
 	return &Tracker{
-		tag:   segment.TagOf(service),
-		flows: generations.New[segment.Flow, flowState](maxFlows),
+		policy: policy,
+		tag:    segment.TagOf(service),
+		flows:  generations.New[segment.Flow, flowState](maxFlows),
 
 		failures: failures{answerTimeout: defaultAnswerTimeout},
+		level:    newLevel(),
 	}
 }
 
@@ -151,7 +172,7 @@
 
 // SetSlots sets the number of requests that the target runs concurrently; 0 means
 // unknown.
-func (t *Tracker) SetSlots(slots int) { t.slots = slots }
+func (t *Tracker) SetSlots(slots int) { t.work.slots = slots }
 
 // SetAnswerTimeout sets the time after which a request without an answer counts as
 // failed; 0 leaves it unchanged.
@@ -214,9 +235,37 @@
 			t.pending--
 		}
 	}
+	begins, ends := before.requestedAt == 0 && after.requestedAt != 0, before.requestedAt != 0 && after.requestedAt == 0
+	if begins {
+		after.expected = t.work.expectedAnswer()
+		after.startedAt = t.work.begin(now, flow)
+	}
+	if ends {
+		after.startedAt = 0
+	}
 	if !t.flows.Put(flow, after) {
 		t.overflowed = true
 	}
+	if ends && before.startedAt != 0 {
+		t.startNext(now)
+	}
+}
+
+// startNext gives the slot of a request that ended to the longest waiting one.
+func (t *Tracker) startNext(now time.Duration) {
+	t.work.running--
+	for len(t.work.waiting) > 0 {
+		next := t.work.waiting[0]
+		t.work.waiting = t.work.waiting[1:]
+		s, known := t.flows.Get(next.flow)
+		if !known || s.requestedAt == 0 || s.startedAt != 0 || s.requestedAt > next.at {
+			continue
+		}
+		s.startedAt = now
+		t.work.running++
+		t.flows.Put(next.flow, s)
+		return
+	}
 }
 
 // Admit decides whether a segment from a balancer goes to the target.
@@ -227,12 +276,17 @@
 	if !head.Opening {
 		return Accepted
 	}
+	if s, known := t.flows.Get(head.FromCaller()); known && s.accepted && !s.ended {
+		// A refusal says that the target does not hold the flow.
+		return Accepted
+	}
+	t.observeDemand(now, mark)
 	switch {
 	case t.leaving:
 		return Leaving
 	case t.Unresponsive(now) && now-t.lastProbe < probeInterval:
 		return Unresponsive
-	case mark.Attempt < maxLoadRetries && t.slots > 0 && float64(t.pending) >= float64(t.slots)*(1+maxQueuePerSlot):
+	case t.busy(now, mark, head.Source):
 		return Busy
 	}
 	if t.Unresponsive(now) {
@@ -283,10 +337,17 @@
 		}
 		s.requestedAt, s.opening, s.ended = 0, false, true
 	case head.DataLength > 0 && !s.retransmits(head):
+		if s.acceptedAt != 0 {
+			t.work.observeRoundTrip(now - s.acceptedAt)
+			s.acceptedAt = 0
+		}
 		s.opening = false
 		s.dataEnd, s.hasData = head.DataEnd(), true
+		if s.requestedAt == 0 {
+			t.begun = append(t.begun, flowAt{flow, now})
+		}
 		if s.requestedAt == 0 || !s.held {
-			s.requestedAt, s.countedFailed, s.multiSegment = now, false, false
+			s.requestedAt, s.countedFailed, s.multiSegment, s.outcomeDue = now, false, false, false
 		}
 		if request != nil {
 			s.request = segment.MakeRequestID(request)
@@ -307,6 +368,17 @@
 	return d
 }
 
+// Outcome is what a segment says of the answer that it belongs to.
+type Outcome uint8
+
+// Outcomes. The segments of an answer arrive in any order, and only one of them holds the
+// status.
+const (
+	NoOutcome Outcome = iota
+	Succeeded
+	Failed
+)
+
 // Answer describes a segment sent by the target.
 type Answer struct {
 	// Sender is the number of the balancer that sent the flow's last segment.
@@ -315,20 +387,21 @@
 	ReportOwner bool
 	// Request is the identifier of the flow's last request.
 	Request segment.RequestID
-	// First is set on the first data of an answer.
-	First bool
+	// Resolved is set on the segment that says the outcome of the request. The fields
+	// below are valid with it.
+	Resolved bool
 	// Waited is the time from the request's first data, or from its last if the target
-	// was not known to hold the flow, to the first data of its answer; 0 for other
-	// segments.
+	// was not known to hold the flow, to the first segment of its answer.
 	Waited time.Duration
+	// Expected is the expected value of Waited; 0 if unknown.
+	Expected time.Duration
 	// SinceOpening is the time since the opening if this is the flow's first answer; 0
 	// otherwise.
 	SinceOpening time.Duration
 }
 
-// Answered records a segment that the target sent to a caller. Failed is set if the
-// segment begins an answer that reports a failure.
-func (t *Tracker) Answered(now time.Duration, head segment.Head, failed bool) Answer {
+// Answered records a segment that the target sent to a caller.
+func (t *Tracker) Answered(now time.Duration, head segment.Head, outcome Outcome) Answer {
 	t.unansweredSince = 0
 	flow := head.FromTarget()
 	s, known := t.flows.Get(flow)
@@ -340,21 +413,14 @@
 			s.opening = true
 			t.openings = append(t.openings, flowAt{flow, now})
 		}
-		s.accepted = true
-	case head.Ended || head.Reset:
-		if head.Reset && s.requestedAt != 0 {
+		s.accepted, s.acceptedAt = true, now
+	case head.Reset:
+		if s.requestedAt != 0 {
 			t.failures.record(now, true)
 		}
 		s.requestedAt, s.opening, s.ended = 0, false, true
-	case head.DataLength > 0 && s.requestedAt != 0:
-		a.Waited, a.First = now-s.requestedAt, true
-		if s.openedAt != 0 {
-			a.SinceOpening = now - s.openedAt
-		}
-		s.requestedAt, s.openedAt = 0, 0
-		if !s.countedFailed || !failed {
-			t.failures.record(now, failed)
-		}
+	case head.Ended || head.DataLength > 0:
+		t.answerSegment(now, &s, head, outcome, &a)
 	}
 	if !head.Opening && !head.Reset {
 		s.held = true
@@ -368,6 +434,43 @@
 	return a
 }
 
+// answerSegment records a segment of an answer. The first one ends the request; the end
+// of the flow may arrive before the data.
+func (t *Tracker) answerSegment(now time.Duration, s *flowState, head segment.Head, outcome Outcome, a *Answer) {
+	if s.requestedAt != 0 {
+		s.waited, s.served, s.outcomeDue = now-s.requestedAt, 0, true
+		if s.startedAt != 0 {
+			s.served = now - s.startedAt
+		}
+		s.requestedAt = 0
+	}
+	if s.outcomeDue && outcome != NoOutcome {
+		s.outcomeDue = false
+		a.Resolved, a.Waited, a.Expected = true, s.waited, s.expected
+		if s.openedAt != 0 {
+			a.SinceOpening = now - s.openedAt
+			s.openedAt = 0
+		}
+		t.resolve(now, s, outcome == Failed)
+	}
+	if head.Ended {
+		s.opening, s.ended = false, true
+	}
+}
+
+// resolve records the outcome of a request.
+func (t *Tracker) resolve(now time.Duration, s *flowState, failed bool) {
+	if !s.countedFailed || !failed {
+		t.failures.record(now, failed)
+	}
+	switch {
+	case failed && s.served == 0:
+		t.work.observeShed(now, t.pending)
+	case !failed && s.served != 0:
+		t.work.observe(s.served)
+	}
+}
+
 // Holds reports whether the target is known to hold a flow.
 func (t *Tracker) Holds(flow segment.Flow) bool {
 	s, known := t.flows.Get(flow)
@@ -424,10 +527,21 @@
 			t.failures.record(now, true)
 		}
 	}
+	limit := pendingTimeoutFactor * t.failures.answerTimeout
+	for _, flow := range t.begun.removeOlder(now, limit) {
+		if s, known := t.flows.Get(flow); known && s.requestedAt != 0 && now-s.requestedAt >= limit {
+			after := s
+			after.requestedAt, after.outcomeDue, after.waited, after.served = 0, true, limit, limit
+			t.update(now, flow, s, after)
+		}
+	}
 	t.flows.Rotate(now, flowTTL, func(_ segment.Flow, s flowState) {
 		if s.pending() {
 			t.advance(now)
 			t.pending--
 		}
+		if s.startedAt != 0 {
+			t.startNext(now)
+		}
 	})
 }
--- a/internal/occupancy/occupancy_test.go
+++ b/internal/occupancy/occupancy_test.go
@@ -38,7 +38,7 @@
 // openFlow simulates a flow up to its first request.
 func openFlow(t *Tracker, now time.Duration, port uint16) {
 	t.Delivered(now, opening(port), mark, 0, nil)
-	t.Answered(now, fromTarget(port, segment.Head{Opening: true, Accepted: true}), false)
+	t.Answered(now, fromTarget(port, segment.Head{Opening: true, Accepted: true}), Succeeded)
 	t.Delivered(now, request(port), mark, 0, nil)
 }
 
@@ -53,9 +53,9 @@
 	part.Sequence = part.DataEnd()
 	tr.Delivered(2*ms, part, mark, 0, nil)
 	c.Check(tr.Pending(), qt.Equals, 2, qt.Commentf("second part of a request"))
-	a := tr.Answered(30*ms, fromTarget(1, segment.Head{DataLength: 500}), false)
+	a := tr.Answered(30*ms, fromTarget(1, segment.Head{DataLength: 500}), Succeeded)
 	c.Check(a.Waited, qt.Equals, 29*ms)
-	tr.Answered(31*ms, fromTarget(1, segment.Head{DataLength: 500}), false)
+	tr.Answered(31*ms, fromTarget(1, segment.Head{DataLength: 500}), Succeeded)
 	c.Check(tr.Pending(), qt.Equals, 1)
 	tr.Delivered(32*ms, segment.Head{Source: callerAt(2), Destination: service, Reset: true}, mark, 0, nil)
 	c.Check(tr.Pending(), qt.Equals, 0)
@@ -77,7 +77,7 @@
 	tr := New("web")
 	for port := range uint16(5) {
 		tr.Delivered(ms, opening(port), mark, 0, nil)
-		tr.Answered(ms, fromTarget(port, segment.Head{Opening: true, Accepted: true}), false)
+		tr.Answered(ms, fromTarget(port, segment.Head{Opening: true, Accepted: true}), Succeeded)
 	}
 	tr.Delivered(2*ms, request(1), mark, 0, nil)
 	c.Check(tr.Pending(), qt.Equals, 5)
@@ -98,9 +98,9 @@
 	first.Sequence = math.MaxUint32 - 50
 	second.Sequence = first.DataEnd()
 	tr.Delivered(ms, opening(1), mark, 0, nil)
-	tr.Answered(ms, fromTarget(1, segment.Head{Opening: true, Accepted: true}), false)
+	tr.Answered(ms, fromTarget(1, segment.Head{Opening: true, Accepted: true}), Succeeded)
 	tr.Delivered(2*ms, first, mark, 0, nil)
-	tr.Answered(3*ms, fromTarget(1, segment.Head{DataLength: 5}), false)
+	tr.Answered(3*ms, fromTarget(1, segment.Head{DataLength: 5}), Succeeded)
 	tr.Delivered(4*ms, first, mark, 0, nil)
 	c.Check(tr.Pending(), qt.Equals, 0)
 	tr.Delivered(5*ms, second, mark, 0, nil)
@@ -153,7 +153,7 @@
 	c.Check(tr.Unresponsive(200*ms), qt.IsTrue)
 	c.Check(tr.Admit(400*ms, opening(2), mark), qt.Equals, Accepted, qt.Commentf("probe"))
 	c.Check(tr.Admit(401*ms, opening(3), mark), qt.Equals, Unresponsive)
-	tr.Answered(402*ms, fromTarget(2, segment.Head{Opening: true, Accepted: true}), false)
+	tr.Answered(402*ms, fromTarget(2, segment.Head{Opening: true, Accepted: true}), Succeeded)
 	c.Check(tr.Admit(403*ms, opening(3), mark), qt.Equals, Accepted)
 }
 
@@ -165,7 +165,7 @@
 	tr := New("web")
 	// After a restart of the agent, the target's next segment shows that it holds the flow.
 	c.Check(tr.Delivered(ms, request(1), search, 3, nil).ReportOwner, qt.IsFalse)
-	a := tr.Answered(2*ms, fromTarget(1, segment.Head{}), false)
+	a := tr.Answered(2*ms, fromTarget(1, segment.Head{}), Succeeded)
 	c.Check(a.ReportOwner, qt.IsTrue)
 	c.Check(a.Sender, qt.Equals, uint8(3))
 	// The agent has seen the flow.
@@ -183,7 +183,7 @@
 	flow := request(1).FromCaller()
 	tr := New("web")
 	tr.Delivered(ms, opening(1), mark, 0, nil)
-	tr.Answered(ms, fromTarget(1, segment.Head{Opening: true, Accepted: true}), false)
+	tr.Answered(ms, fromTarget(1, segment.Head{Opening: true, Accepted: true}), Succeeded)
 	c.Check(tr.Holds(flow), qt.IsFalse, qt.Commentf("accepted, but the caller may have chosen another"))
 	tr.Delivered(2*ms, request(1), mark, 0, nil)
 	c.Check(tr.Holds(flow), qt.IsTrue)
@@ -191,9 +191,9 @@
 	c.Check(tr.Holds(flow), qt.IsFalse)
 	tr.Delivered(4*ms, request(1), mark, 0, nil)
 	c.Check(tr.Holds(flow), qt.IsFalse, qt.Commentf("nothing is known after a restart"))
-	tr.Answered(5*ms, fromTarget(1, segment.Head{DataLength: 3}), false)
+	tr.Answered(5*ms, fromTarget(1, segment.Head{DataLength: 3}), Succeeded)
 	c.Check(tr.Holds(flow), qt.IsTrue)
-	tr.Answered(6*ms, fromTarget(1, segment.Head{Reset: true}), false)
+	tr.Answered(6*ms, fromTarget(1, segment.Head{Reset: true}), Succeeded)
 	c.Check(tr.Holds(flow), qt.IsFalse)
 }
 
@@ -202,10 +202,10 @@
 	c := qt.New(t)
 	tr := New("web")
 	tr.Delivered(ms, opening(1), mark, 0, nil)
-	tr.Answered(ms, fromTarget(1, segment.Head{Opening: true, Accepted: true}), false)
+	tr.Answered(ms, fromTarget(1, segment.Head{Opening: true, Accepted: true}), Succeeded)
 	tr.Delivered(2*ms, request(1), mark, 0, []byte("id-1"))
-	a := tr.Answered(9*ms, fromTarget(1, segment.Head{DataLength: 5}), false)
-	c.Check(a.First, qt.IsTrue)
+	a := tr.Answered(9*ms, fromTarget(1, segment.Head{DataLength: 5}), Succeeded)
+	c.Check(a.Resolved, qt.IsTrue)
 	c.Check(a.Request.String(), qt.Equals, "id-1")
 	next := request(1)
 	next.Sequence = next.DataEnd()
@@ -234,7 +234,7 @@
 	for port := range uint16(6) {
 		now := time.Duration(port+1) * ms
 		tr.Delivered(now, opening(port), mark, uint8(port%2), nil)
-		tr.Answered(now, fromTarget(port, segment.Head{Opening: true, Accepted: true}), false)
+		tr.Answered(now, fromTarget(port, segment.Head{Opening: true, Accepted: true}), Succeeded)
 		tr.Delivered(now, request(port), mark, uint8(port%2), nil)
 	}
 	// Another balancer takes over flow 0 while the first one restarts, flow 2 ends and
@@ -242,7 +242,7 @@
 	next := request(0)
 	next.Sequence = next.DataEnd()
 	tr.Delivered(10*ms, next, mark, 1, nil)
-	tr.Answered(10*ms, fromTarget(2, segment.Head{Ended: true}), false)
+	tr.Answered(10*ms, fromTarget(2, segment.Head{Ended: true}), Succeeded)
 	tr.Returned(10*ms, request(4))
 	c.Check(tr.FlowsOf(0, 10), qt.DeepEquals, []segment.Flow{request(0).FromCaller()})
 	c.Check(tr.FlowsOf(1, 10), qt.HasLen, 4, qt.Commentf("its own three and the one that it took over"))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -4,6 +4,7 @@
 package registry
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -26,12 +27,17 @@
 	Endpoint segment.Endpoint
 	// Shares lists the services and their weights; usually there is one service.
 	Shares []Share
-	// Timeout is the timeout of requests inside the flows.
+	// Timeout is the timeout of requests inside the flows; 0 if there is none.
 	Timeout time.Duration
-	// Aim is the latency objective of requests inside the flows.
+	// Aim is the latency objective of requests inside the flows; 0 if there is none.
 	Aim time.Duration
+	// Priority is the priority of requests inside the flows; 0 is the highest.
+	Priority uint8
 }
 
+// NoPriority is the priority of a route that names none: below those that do.
+const NoPriority = math.MaxUint8
+
 // Service returns the service for a flow hash, or "" if all weights are 0.
 func (r *Route) Service(hash uint64) string {
 	if len(r.Shares) == 1 {
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -98,11 +98,12 @@
 	Sequence uint32
 	// DataLength is the number of payload bytes.
 	DataLength int
-	// Waited is the time since the balancer received the segment, if it could not decide
-	// on it at once. It is not part of the segment.
-	Waited time.Duration
-	// Mark holds 32 bits that balancers and agents set; a target returns it unchanged.
-	Mark uint32
+	// Age is the time since the caller sent the first copy of an opening, as far as it is
+	// known; 0 for other segments.
+	Age time.Duration
+	// Mark holds 40 bits that balancers and agents set. A target returns the lower 32
+	// unchanged and clears the others.
+	Mark uint64
 }
 
 // DataEnd returns the sequence number after the last payload byte, modulo 2^32.
@@ -128,9 +129,9 @@
 	// does.
 	Status(data []byte) int
 	// Forwardable clears the returned flag and writes the mark.
-	Forwardable(b []byte, mark uint32)
+	Forwardable(b []byte, mark uint64)
 	// Return sets the returned flag and writes the mark.
-	Return(b []byte, mark uint32)
+	Return(b []byte, mark uint64)
 	// Reset returns a reset that answers a caller's segment.
 	Reset(b []byte) []byte
 }
@@ -169,41 +170,3 @@
 	}
 	return 1
 }
-
-// Mark is the decoded form of the 32 bits that balancers and agents set in a segment.
-type Mark struct {
-	// Tag identifies the service that the balancer chose.
-	Tag Tag
-	// Attempt counts the targets that returned the opening before.
-	Attempt uint8
-	// Search is set if the balancer is searching for the flow's owner.
-	Search bool
-	// Sender is the number that the agent assigned to the balancer that sent the
-	// segment.
-	Sender uint8
-}
-
-const (
-	maxAttempt = 0x7f
-	searchBit  = 0x80
-)
-
-// Pack encodes the mark.
-func (m Mark) Pack() uint32 {
-	flags := uint32(min(m.Attempt, maxAttempt))
-	if m.Search {
-		flags |= searchBit
-	}
-	return uint32(m.Tag)<<16 | flags<<8 | uint32(m.Sender)
-}
-
-// Unpack decodes the output of Pack.
-func Unpack(v uint32) Mark {
-	flags := uint8(v >> 8)
-	return Mark{
-		Tag:     Tag(v >> 16),
-		Attempt: flags & maxAttempt,
-		Search:  flags&searchBit != 0,
-		Sender:  uint8(v),
-	}
-}
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -16,6 +17,15 @@
 			Attempt: uint8(rapid.IntRange(0, maxAttempt).Draw(t, "attempt")),
 			Search:  rapid.Bool().Draw(t, "search"),
 			Sender:  rapid.Uint8().Draw(t, "sender"),
+
+			Busy:     rapid.Bool().Draw(t, "busy"),
+			Priority: uint8(rapid.IntRange(0, MaxPriority).Draw(t, "priority")),
+		}
+		switch code := rapid.IntRange(noBudgetCode, maxBudgetCode).Draw(t, "budget"); code {
+		case lateCode:
+			m.Late = true
+		default:
+			m.Budget = budgets[code]
 		}
 		if got := Unpack(m.Pack()); got != m {
 			t.Fatalf("%+v became %+v", m, got)
@@ -31,6 +41,18 @@
 	})
 }
 
+// Guards against a budget that is rounded up, so that an agent takes an opening that
+// cannot be answered in time, or rounded down so far that it refuses one that can.
+func TestBudgetIsRoundedDown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := time.Duration(rapid.Int64Range(1, int64(30*time.Second)).Draw(t, "budget"))
+		got := Unpack(Mark{Budget: budget}.Pack())
+		if got.Budget > budget || got.Late != (budget < minBudget) || !got.Late && float64(budget) > budgetStep*float64(got.Budget) {
+			t.Fatalf("%v became %+v", budget, got)
+		}
+	})
+}
+
 // Guards against services that share a tag, against the tag 0, and against endpoints
 // from IPv6 addresses or from truncated flows.
 func TestTagAndEndpoint(t *testing.T) {
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -102,7 +102,7 @@
 	a := &Agent{
 		options: options, clock: newClock(), tracker: occupancy.New(options.Service),
 		byHost: make(map[netip.Addr]uint8), tasks: newTasks(),
-		metrics: telemetry.NewSegmentMetrics("agent/" + options.Host),
+		metrics: telemetry.NewSegmentMetrics("agent/"+options.Host, occupancy.RefusalNames()...),
 	}
 	a.coverage = occupancy.NewCoverage(a.clock.now(), time.Now().UnixMilli())
 	a.out = transmitter{options.Logger, a.metrics}
@@ -149,10 +149,11 @@
 	if refusal == occupancy.Accepted {
 		delivery = a.tracker.Delivered(now, head, mark, sender, request)
 	}
-	pending := a.tracker.Pending()
+	load := openingLoad{pending: a.tracker.Pending(), expectedWait: a.tracker.ExpectedWait(), service: a.tracker.ServiceTime()}
 	a.mu.Unlock()
 	if refusal != occupancy.Accepted {
-		a.refuse(b, head, mark, refusal, pending, from)
+		mark.Busy = refusal == occupancy.Busy
+		a.refuse(b, head, mark, refusal, load, from)
 		return
 	}
 	a.options.Codec.Forwardable(b, mark.Pack())
@@ -166,20 +167,29 @@
 		a.metrics.SegmentsIn.Inc()
 		if a.options.Logger.Allow(telemetry.RequestHanded) {
 			a.options.Logger.Log(telemetry.RequestHanded, "request", string(request), "flow", head.FromCaller().String(),
-				"balancer", from.Addr(), "pending", pending)
+				"balancer", from.Addr(), "pending", load.pending)
 		}
 	case delivery.Abandoned && a.options.Logger.Allow(telemetry.RequestAbandoned):
 		a.options.Logger.Log(telemetry.RequestAbandoned, "request", delivery.Request.String(), "flow", head.FromCaller().String(),
-			"waited", delivery.Waited.Round(time.Millisecond), "pending", pending)
+			"waited", delivery.Waited.Round(time.Millisecond), "pending", load.pending)
 	}
 }
 
+// openingLoad is the load of the target on which an opening was decided.
+type openingLoad struct {
+	pending               int
+	expectedWait, service time.Duration
+}
+
 // refuse returns a segment that was not admitted to the balancer that sent it.
-func (a *Agent) refuse(b []byte, head segment.Head, mark segment.Mark, reason occupancy.Refusal, pending int, to netip.AddrPort) {
+func (a *Agent) refuse(b []byte, head segment.Head, mark segment.Mark, reason occupancy.Refusal, load openingLoad, to netip.AddrPort) {
 	a.metrics.Refused.Inc()
+	a.metrics.Reason(int(reason)).Inc()
 	if a.options.Logger.Allow(telemetry.SegmentRefused) {
 		a.options.Logger.Log(telemetry.SegmentRefused, "flow", head.FromCaller().String(), "reason", reason.String(),
-			"attempt", mark.Attempt, "pending", pending)
+			"attempt", mark.Attempt, "pending", load.pending, "expected_wait", load.expectedWait.Round(time.Millisecond),
+			"service_time", load.service.Round(time.Millisecond), "priority", mark.Priority, "budget", mark.Budget.Round(time.Millisecond),
+			"late", mark.Late)
 	}
 	a.options.Codec.Return(b, mark.Pack())
 	a.out.datagram(a.packets, b, to)
@@ -238,9 +248,8 @@
 	if head.DataLength > 0 {
 		status = a.options.Codec.Status(a.options.Codec.Data(b))
 	}
-	failed := status != 0 && status/100 != 2
 	a.mu.Lock()
-	answer := a.tracker.Answered(now, head, failed)
+	answer := a.tracker.Answered(now, head, outcomeOf(status))
 	pending := a.tracker.Pending()
 	a.mu.Unlock()
 	a.metrics.Answered.Inc()
@@ -249,15 +258,32 @@
 	if answer.ReportOwner {
 		a.sendOwner(head.FromTarget(), answer.Sender)
 	}
-	if answer.First {
-		a.recordAnswer(head, answer, status, failed, pending)
+	if answer.Resolved {
+		a.recordAnswer(head, answer, status, pending)
+	}
+}
+
+// outcomeOf returns the outcome that a status stands for; 0 is no status.
+func outcomeOf(status int) occupancy.Outcome {
+	switch {
+	case status == 0:
+		return occupancy.NoOutcome
+	case status/100 == 2:
+		return occupancy.Succeeded
+	default:
+		return occupancy.Failed
 	}
 }
 
-// recordAnswer records the first data of an answer and logs it when it failed
-// or was slow.
-func (a *Agent) recordAnswer(head segment.Head, answer occupancy.Answer, status int, failed bool, pending int) {
+// recordAnswer records the outcome of a request and logs it when it failed or was
+// slow.
+func (a *Agent) recordAnswer(head segment.Head, answer occupancy.Answer, status, pending int) {
+	failed := outcomeOf(status) == occupancy.Failed
 	a.metrics.AnswerWait.Record(answer.Waited)
+	if answer.Expected > 0 {
+		a.metrics.ExpectedWait.Record(answer.Expected)
+		a.metrics.WaitError.Record((answer.Waited - answer.Expected).Abs())
+	}
 	if answer.SinceOpening > 0 {
 		a.metrics.OpeningToAnswer.Record(answer.SinceOpening)
 	}
@@ -393,6 +419,7 @@
 func (a *Agent) tick(now time.Duration) {
 	a.mu.Lock()
 	a.tracker.Tick(now)
+	a.tracker.SetPeriod(segment.RankPeriodAt(time.Now()))
 	load := &schema.LinkLoad{
 		ServiceTag:       uint32(a.tracker.Tag()),
 		Pending:          uint32(max(a.tracker.Pending(), 0)),
@@ -401,6 +428,8 @@
 		Leaving:          a.lastLoad.GetLeaving(),
 		Complete:         a.coverage.Complete(now),
 		FailingMilli:     uint32(a.tracker.Failing(now) * 1000),
+		ServiceMicros:    uint32(a.tracker.ServiceTime().Microseconds()),
+		ExcludedShares:   excludedShares(a.tracker.ExcludedRanks()),
 	}
 	var to []netip.AddrPort
 	if a.reportDue(now, load) {
@@ -430,6 +459,24 @@
 	}
 }
 
+// excludedShares encodes the excluded ranks of a load report: one byte for each
+// priority, the highest one first, with the share of callers that is excluded in
+// 255ths.
+func excludedShares(ranks [segment.MaxPriority + 1]float64) (shares uint32) {
+	for _, rank := range ranks {
+		shares = shares<<8 | uint32((1-rank)*math.MaxUint8)
+	}
+	return shares
+}
+
+// excludedRanks is the inverse of excludedShares.
+func excludedRanks(shares uint32) (ranks [segment.MaxPriority + 1]float64) {
+	for i := range ranks {
+		ranks[i] = 1 - float64(uint8(shares>>(8*(segment.MaxPriority-i))))/math.MaxUint8
+	}
+	return ranks
+}
+
 // reportDue reports whether a load report has to be sent now. The caller must
 // hold a.mu.
 func (a *Agent) reportDue(now time.Duration, load *schema.LinkLoad) bool {
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -310,6 +310,7 @@
 	b.updateView(now)
 	b.applyReports(now)
 	b.engine.SetDivert(b.divert.Load())
+	b.engine.SetPeriod(segment.RankPeriodAt(time.Now()))
 	for _, flow := range b.engine.Tick(now, b.confirmed.Load()) {
 		b.held.take(flow)
 	}
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -46,7 +46,9 @@
 	}
 	t.Report(b.clock.now(), steering.Report{
 		Pending: m.Pending, MeanPending: float64(m.MeanPendingMilli) / 1000, Failing: float64(m.FailingMilli) / 1000,
-		Unresponsive: m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete,
+		ServiceTime:   time.Duration(m.ServiceMicros) * time.Microsecond,
+		ExcludedRanks: excludedRanks(m.ExcludedShares),
+		Unresponsive:  m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete,
 	})
 }
 
--- a/internal/segnode/held.go
+++ b/internal/segnode/held.go
@@ -144,7 +144,7 @@
 		if !ok {
 			continue
 		}
-		head.Waited = now - w.at
+		head.Age += now - w.at
 		verdict := b.engine.Segment(now, head)
 		if verdict.Action == steering.Wait {
 			b.waiting = append(b.waiting, w)
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -128,8 +129,9 @@
 	}
 	var best *Target
 	var bestCost float64
+	mean := e.meanServiceTime(list)
 	for _, t := range list {
-		if cost := e.cost(t); best == nil || cost < bestCost {
+		if cost := e.cost(t, mean); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
@@ -150,14 +152,44 @@
 	return t.load.leaving.Load() || (t.Silent(now) || !t.Reported()) && !e.linkDoubted
 }
 
-// cost estimates the load of a target in requests per slot.
-func (e *Engine) cost(t *Target) float64 {
+// expectsRefusal reports whether the last report of a target says that its agent refuses
+// the opening of a verdict.
+func (e *Engine) expectsRefusal(t *Target, v *Verdict) bool {
+	pending := float64(t.load.pending.Load()) + sentWeight*float64(t.openingsSent)
+	if pending < t.slots() {
+		return false
+	}
+	return v.Late || v.Flow.Caller.Rank(e.period) >= math.Float64frombits(t.load.excludedRanks[v.Priority].Load())
+}
+
+// meanServiceTime returns the mean service time of targets in microseconds; 0 if none is
+// known.
+func (e *Engine) meanServiceTime(targets []*Target) float64 {
+	sum, known := 0.0, 0
+	for _, t := range targets {
+		if service := t.load.serviceMicros.Load(); service > 0 {
+			sum += float64(service)
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum / float64(known)
+}
+
+// cost estimates the time to the completion of a new request at a target, in service
+// times of the mean candidate, plus penalties in the same unit.
+func (e *Engine) cost(t *Target, meanService float64) float64 {
 	if reports := t.load.reportCount.Load(); reports != t.openingsReport {
 		t.openingsReport, t.openingsSent = reports, 0
 	}
 	pending := float64(t.load.pending.Load()) + sentWeight*float64(t.openingsSent)
 	mean := float64(t.load.meanMilli.Load()) / 1000
 	cost := (pending + meanWeight*mean) / t.slots()
+	if service := t.load.serviceMicros.Load(); e.policy.ByServiceTime && service > 0 && meanService > 0 {
+		cost *= float64(service) / meanService
+	}
 	cost += failingCost * float64(t.load.failingMilli.Load()) / 1000
 	if t.cold.Load() {
 		cost += coldCost
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/generations"
+	"github.com/peridotstall/peridotstall/internal/registry"
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
@@ -63,6 +64,12 @@
 	// linkDoubtShare is the share of silent targets above which the balancer assumes a
 	// fault of its own link rather than of the targets.
 	linkDoubtShare = 0.5
+	// maxBusyReturns is the number of targets that refuse an opening because of their load
+	// before its caller gets a reset: each costs a round trip of the caller's objective.
+	maxBusyReturns = 4
+	// trustedBusyReturns is the number of such targets after which the reports of the next
+	// one are trusted. Reports are some ten milliseconds old, in which slots become free.
+	trustedBusyReturns = 2
 	// firstReportTimeout is the time after the first view for which openings wait for a
 	// report of any target of their service: some round trips to another zone. An agent
 	// that has not started yet loses the opening, which costs its caller 200 ms.
@@ -124,12 +131,17 @@
 	// Unreported: no target of the service has reported yet, shortly after the start of
 	// the balancer.
 	Unreported
+	// Overloaded: several targets refused the opening because of their load.
+	Overloaded
+	// Expired: the timeout of the route is over before the opening is placed.
+	Expired
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"known", "opened", "repeated", "passed_on", "searching", "unconfigured", "no_route",
 	"no_target", "refused", "ownerless", "overfull", "diverted", "irrelevant", "unreported",
+	"overloaded", "expired",
 }
 
 // String returns the name used in logs and metrics.
@@ -144,7 +156,11 @@
 	Reason Reason
 	Flow   segment.Flow
 	// Attempt counts the targets that returned this opening before.
-	Attempt         uint8
+	Attempt uint8
+	// Priority, Budget and Late are those of the opening's route; see segment.Mark.
+	Priority        uint8
+	Budget          time.Duration
+	Late            bool
 	targets         [maxFanout]*Target
 	count           int
 	agents          []*Target
@@ -163,8 +179,21 @@
 func (v *Verdict) Targets() []*Target { return v.targets[:v.count] }
 
 // Mark returns the mark of the copy that goes to a target.
-func (v *Verdict) Mark(t *Target) uint32 {
-	return segment.Mark{Tag: t.Tag, Attempt: v.Attempt, Search: v.Reason == Searching}.Pack()
+func (v *Verdict) Mark(t *Target) uint64 {
+	return segment.Mark{
+		Tag: t.Tag, Attempt: v.Attempt, Search: v.Reason == Searching,
+		Priority: v.Priority, Budget: v.Budget, Late: v.Late,
+	}.Pack()
+}
+
+// setUrgency sets the priority and the budget of an opening of the given age.
+func (v *Verdict) setUrgency(route *registry.Route, age time.Duration) {
+	v.Priority = min(route.Priority, segment.MaxPriority)
+	if route.Aim == 0 {
+		return
+	}
+	v.Budget = max(route.Aim-age, 0)
+	v.Late = v.Budget == 0
 }
 
 func (v *Verdict) add(t *Target) {
@@ -184,14 +213,37 @@
 	target *Target
 	// previous got an earlier copy of the opening and may hold the flow instead.
 	previous *Target
+	// forgotten is set if a further target got a copy of the opening, did not return it
+	// and is no longer recorded.
+	forgotten bool
 	// openings is one more than the highest copy number of the opening.
 	openings uint32
 }
 
+// Policy selects the mechanisms of the choice among targets. It exists so that the worth
+// of each can be measured.
+type Policy struct {
+	// MaxBusyReturns is the number of targets that may refuse an opening because of
+	// their load before its caller gets a reset.
+	MaxBusyReturns int
+	// TrustReports ends an opening after trustedBusyReturns refusals if the report of the
+	// best remaining candidate says that it refuses the opening too.
+	TrustReports bool
+	// ByServiceTime compares targets by expected completion. Without it, they are
+	// compared by the number of requests per slot.
+	ByServiceTime bool
+}
+
+// DefaultPolicy returns the policy with all mechanisms.
+func DefaultPolicy() Policy {
+	return Policy{MaxBusyReturns: maxBusyReturns, ByServiceTime: true, TrustReports: true}
+}
+
 // Engine steers the segments of one balancer.
 type Engine struct {
-	zone string
-	view *View
+	policy Policy
+	zone   string
+	view   *View
 	// viewSince is the time of the first view; 0 before it.
 	viewSince time.Duration
 	// records holds a flow until it has been idle for a whole generation.
@@ -206,6 +258,7 @@
 	// larger link than this one.
 	divertEnabled bool
 	load          linkLoad
+	period        segment.RankPeriod
 	// silent is the number of silent targets at the last tick.
 	silent int
 	// local, all and scratch are buffers of rank.
@@ -222,7 +275,13 @@
 // New returns an engine for a balancer in a zone. The link rate is in bytes per second;
 // 0 means unlimited.
 func New(zone string, linkRate float64) *Engine {
+	return NewWithPolicy(zone, linkRate, DefaultPolicy())
+}
+
+// NewWithPolicy returns an engine with some of its mechanisms switched off.
+func NewWithPolicy(zone string, linkRate float64, policy Policy) *Engine {
 	return &Engine{
+		policy:    policy,
 		zone:      zone,
 		queryRate: linkRate * queryLinkShare / querySize,
 		load:      newLinkLoad(linkRate),
@@ -257,6 +316,9 @@
 // that receive callers' segments have a much larger link than this one.
 func (e *Engine) SetDivert(enabled bool) { e.divertEnabled = enabled }
 
+// SetPeriod sets the period for which callers are ranked.
+func (e *Engine) SetPeriod(period segment.RankPeriod) { e.period = period }
+
 // LinkDoubted reports whether more than half of the targets are silent, so that a fault
 // of the balancer's own link is the likely cause.
 func (e *Engine) LinkDoubted() bool { return e.linkDoubted }
@@ -303,7 +365,7 @@
 	case head.Opening && head.Accepted:
 		return Verdict{Reason: NotFromCaller, Flow: flow}
 	case head.Opening:
-		return e.placeOpening(now, flow, head.Copy)
+		return e.placeOpening(now, flow, head)
 	}
 	r, known := e.records.Get(flow)
 	if !known || r.target == nil {
@@ -312,7 +374,7 @@
 	if r.target.replaced.Load() {
 		// The next incarnation at the address may have opened the flow before its entry
 		// arrived here; only its agent knows.
-		e.records.Put(flow, record{openings: r.openings})
+		e.records.Put(flow, record{openings: r.openings, forgotten: true})
 		return e.search(now, flow)
 	}
 	return forwardTo(Known, flow, r.target, 0)
@@ -325,7 +387,7 @@
 }
 
 // placeOpening decides on an opening from a caller.
-func (e *Engine) placeOpening(now time.Duration, flow segment.Flow, copyNumber uint32) Verdict {
+func (e *Engine) placeOpening(now time.Duration, flow segment.Flow, head segment.Head) Verdict {
 	route := e.view.routes[flow.Service]
 	if route == nil {
 		if !e.confirmed {
@@ -334,13 +396,16 @@
 		return Verdict{Action: Reset, Reason: NoRoute, Flow: flow}
 	}
 	r, known := e.records.Get(flow)
-	if known && copyNumber < r.openings && r.target != nil {
+	if known && head.Copy < r.openings && r.target != nil {
 		// The network duplicated the segment.
-		return forwardTo(Opened, flow, r.target, 0)
+		return e.forwardOpening(Opened, flow, route, r.target, head.Age)
 	}
-	if !known && copyNumber == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
+	if !known && head.Copy == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
 	}
+	if route.Timeout > 0 && head.Age >= route.Timeout {
+		return e.refuseOpening(flow, r, Expired)
+	}
 	service := route.Service(flow.Hash())
 	if now-e.viewSince < firstReportTimeout && !e.anyReported(service) {
 		return Verdict{Action: Wait, Reason: Unreported, Flow: flow}
@@ -352,19 +417,51 @@
 	if t == nil {
 		return Verdict{Reason: NoTarget, Flow: flow}
 	}
-	next := record{target: t, openings: copyNumber + 1}
 	reason := Opened
-	if r.target != nil && r.target != t {
-		next.previous = r.target
-	}
-	if copyNumber > 0 {
+	if head.Copy > 0 {
 		reason = Repeated
 	}
-	if !e.records.Put(flow, next) {
+	if r.target != t {
+		r.supersede(e.searches[flow], t)
+	}
+	r.openings = head.Copy + 1
+	if !e.records.Put(flow, r) {
 		return Verdict{Reason: TableFull, Flow: flow}
 	}
+	if s := e.searches[flow]; s != nil {
+		s.include(t)
+	}
 	t.openingsSent++
-	return forwardTo(reason, flow, t, 0)
+	return e.forwardOpening(reason, flow, route, t, head.Age)
+}
+
+// supersede makes t the target of an opening. The earlier target may hold the flow
+// unless it returned the opening.
+func (r *record) supersede(s *search, t *Target) {
+	if r.target != nil && !(s != nil && s.excludes(r.target)) {
+		r.forgotten = r.forgotten || r.previous != nil && !(s != nil && s.excludes(r.previous))
+		r.previous = r.target
+	}
+	r.target = t
+}
+
+// forwardOpening returns the verdict that sends an opening of the given age to a target.
+func (e *Engine) forwardOpening(reason Reason, flow segment.Flow, route *registry.Route, t *Target, age time.Duration) Verdict {
+	v := forwardTo(reason, flow, t, 0)
+	v.setUrgency(route, age)
+	return v
+}
+
+// refuseOpening ends an opening that cannot be served. The caller gets a reset, which
+// says that its request has not run, unless a target that got a copy of the opening has
+// not returned it: that target may have accepted the flow.
+func (e *Engine) refuseOpening(flow segment.Flow, r record, reason Reason) Verdict {
+	s := e.searches[flow]
+	outstanding := func(t *Target) bool { return t != nil && !(s != nil && s.excludes(t)) }
+	if r.forgotten || outstanding(r.target) || outstanding(r.previous) {
+		return Verdict{Reason: reason, Flow: flow}
+	}
+	return Verdict{Action: Reset, Reason: reason, Flow: flow}
 }
 
 // anyReported reports whether any target of a service has reported, or the service has
@@ -405,23 +502,32 @@
 		return Verdict{Reason: TableFull, Flow: flow}
 	}
 	s.exclude(from)
+	mark := segment.Unpack(head.Mark)
+	if mark.Busy {
+		s.busyReturns++
+	}
 	r, _ := e.records.Get(flow)
+	if head.Copy+1 < r.openings && r.target.onHost(from) {
+		// The target has a later copy too and decides on that one.
+		s.include(r.target)
+		return Verdict{Reason: Retried, Flow: flow}
+	}
+	age := head.Age + now - s.started
+	if s.busyReturns >= e.policy.MaxBusyReturns {
+		return e.refuseOpening(flow, r, Overloaded)
+	}
 	t := e.choose(now, route.Service(flow.Hash()), flow, s.excludes)
 	if t == nil {
-		// A reset is safe only if no target can have accepted the opening: it is a
-		// first copy, and every target that got it returned it.
-		if head.Copy == 0 && r.openings <= 1 && r.previous == nil {
-			return Verdict{Action: Reset, Reason: Refused, Flow: flow}
-		}
-		return Verdict{Reason: Refused, Flow: flow}
+		return e.refuseOpening(flow, r, Refused)
 	}
-	if r.target.onHost(from) {
-		r.target = t
-	} else {
-		r.previous, r.target = r.target, t
+	v := e.forwardOpening(Retried, flow, route, t, age)
+	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(t, &v) {
+		return e.refuseOpening(flow, r, Overloaded)
 	}
+	r.supersede(s, t)
 	r.openings = max(r.openings, head.Copy+1)
 	e.records.Put(flow, r)
 	t.openingsSent++
-	return forwardTo(Retried, flow, t, segment.Unpack(head.Mark).Attempt+1)
+	v.Attempt = mark.Attempt + 1
+	return v
 }
--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -300,18 +300,100 @@
 	f.c.Check(v.Reason, qt.Equals, Refused)
 }
 
-// Guards against a reset of an opening while a target may have accepted an earlier
-// copy.
-func TestNoResetAfterASecondCopy(t *testing.T) {
+// returnOpening returns an opening from the target that a verdict sent it to. Busy marks
+// it as refused because of load.
+func (f *fixture) returnOpening(v Verdict, head segment.Head, busy bool) Verdict {
+	t := v.Targets()[0]
+	mark := segment.Unpack(v.Mark(t))
+	mark.Busy = busy
+	head.Returned, head.Mark = true, mark.Pack()
+	return f.engine.Returned(f.now, t.Agent.Addr(), head)
+}
+
+// Guards against a reset of an opening while a target that did not return an earlier
+// copy may have accepted it: the caller's flow may be open.
+func TestNoResetWhileACopyIsOutstanding(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		f := newFixture(t, 6)
+		first := f.firstTarget(opening(1, 0))
+		v := f.engine.Segment(f.now, opening(1, 1))
+		for v.Action == Forward && v.Targets()[0] != first {
+			v = f.returnOpening(v, opening(1, 1), busy)
+		}
+		if v.Action == Forward {
+			// All others returned it, so that it goes to the first target again.
+			f.c.Check(busy, qt.IsFalse)
+			continue
+		}
+		f.c.Check(v.Action, qt.Equals, Drop)
+		f.c.Check(v.Reason, qt.Equals, Overloaded)
+	}
+}
+
+// Guards against a caller that waits for its time limit although every target that got a
+// copy of its opening has returned the last one that it got, and against a reset before
+// that.
+func TestResetAfterAllCopiesAreReturned(t *testing.T) {
 	f := newFixture(t, 2)
 	f.engine.Segment(f.now, opening(1, 0))
 	v := f.engine.Segment(f.now, opening(1, 1))
+	returns := 0
 	for v.Action == Forward {
-		head := opening(1, 1)
-		head.Returned = true
-		v = f.engine.Returned(f.now, v.Targets()[0].Agent.Addr(), head)
+		f.c.Check(v.Targets(), qt.HasLen, 1)
+		v = f.returnOpening(v, opening(1, 1), false)
+		returns++
 	}
-	f.c.Check(v.Action, qt.Equals, Drop)
+	f.c.Check(returns, qt.Equals, 2)
+	f.c.Check(v.Action, qt.Equals, Reset)
+}
+
+// Guards against a reset while a target has a later copy than the one that it returned.
+func TestReturnOfAnEarlierCopyIsNoRefusal(t *testing.T) {
+	f := newFixture(t, 1)
+	v := f.engine.Segment(f.now, opening(1, 0))
+	f.engine.Segment(f.now, opening(1, 1))
+	f.engine.Segment(f.now, opening(1, 2))
+	f.c.Check(f.returnOpening(v, opening(1, 0), false).Action, qt.Not(qt.Equals), Reset)
+}
+
+// Guards against an opening that is passed among many full targets, each of which costs
+// its caller a round trip.
+func TestBusyReturnsAreBounded(t *testing.T) {
+	f := newFixture(t, 20)
+	v := f.engine.Segment(f.now, opening(1, 0))
+	for range maxBusyReturns {
+		f.c.Assert(v.Action, qt.Equals, Forward)
+		v = f.returnOpening(v, opening(1, 0), true)
+	}
+	f.c.Check(v.Action, qt.Equals, Reset)
+	f.c.Check(v.Reason, qt.Equals, Overloaded)
+}
+
+// Guards against openings without their route's priority and objective, and against an
+// objective that counts from the last copy.
+func TestMarkOfAnOpening(t *testing.T) {
+	f := newFixture(t, 2)
+	r := routes(2, "web")
+	r.Routes[0].Aim, r.Routes[0].Timeout, r.Routes[0].Priority = 300*time.Millisecond, 500*time.Millisecond, 1
+	f.setView(r, 2)
+	for _, test := range []struct {
+		age    time.Duration
+		budget time.Duration
+		late   bool
+	}{{0, 300 * time.Millisecond, false}, {200 * time.Millisecond, 100 * time.Millisecond, false}, {300 * time.Millisecond, 0, true}} {
+		head := opening(int(test.age), 0)
+		head.Age = test.age
+		v := f.engine.Segment(f.now, head)
+		f.c.Assert(v.Action, qt.Equals, Forward)
+		f.c.Check(v.Priority, qt.Equals, uint8(1))
+		f.c.Check(v.Budget, qt.Equals, test.budget)
+		f.c.Check(v.Late, qt.Equals, test.late)
+	}
+	head := opening(900, 0)
+	head.Age = 500 * time.Millisecond
+	v := f.engine.Segment(f.now, head)
+	f.c.Check(v.Action, qt.Equals, Reset)
+	f.c.Check(v.Reason, qt.Equals, Expired)
 }
 
 // Guards against a wrong verdict on an opening to an address without a service: it is
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -38,6 +38,8 @@
 	// at probedAt.
 	probed   []*Target
 	probedAt time.Duration
+	// busyReturns counts the targets that refused an opening because of their load.
+	busyReturns int
 	// excluded hosts returned a segment, or their agents sent a negative reply.
 	excluded []netip.Addr
 }
@@ -52,6 +54,12 @@
 	}
 }
 
+// include records that the target got another copy of an opening.
+func (s *search) include(t *Target) {
+	s.excluded = slices.DeleteFunc(s.excluded, t.onHost)
+	s.busyReturns = 0
+}
+
 // startProbe puts the next targets in front of those that were probed before and have
 // not returned the segment.
 func (s *search) startProbe(now time.Duration, next []*Target) {
@@ -246,7 +254,7 @@
 	s.exclude(from)
 	if known && r.target.onHost(from) {
 		s.returnedByTarget = true
-		e.records.Put(flow, record{openings: r.openings})
+		e.records.Put(flow, record{openings: r.openings, forgotten: true})
 		if r.previous != nil && !s.excludes(r.previous) {
 			s.startProbe(now, []*Target{r.previous})
 			return probeVerdict(flow, s.probed)
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -38,6 +39,11 @@
 	// pending counts running and waiting requests; meanMilli is their mean over the
 	// last second, in thousandths.
 	pending, meanMilli atomic.Uint32
+	// serviceMicros is the mean service time in microseconds; 0 if unknown.
+	serviceMicros atomic.Uint32
+	// excludedRanks holds the bits of the lowest excluded rank of callers for each
+	// priority.
+	excludedRanks [segment.MaxPriority + 1]atomic.Uint64
 	// lastReport is the time of the last report.
 	lastReport atomic.Int64
 	// complete is set while the agent has seen every flow of its target.
@@ -55,6 +61,11 @@
 type Report struct {
 	Pending     uint32
 	MeanPending float64
+	// ServiceTime is the mean time for which a request occupies a slot; 0 if unknown.
+	ServiceTime time.Duration
+	// ExcludedRanks holds for each priority the lowest rank of callers whose openings the
+	// agent refuses while requests wait; 1 for none.
+	ExcludedRanks [segment.MaxPriority + 1]float64
 	// Failing is the share of recent requests that failed, from 0 to 1.
 	Failing      float64
 	Unresponsive bool
@@ -93,6 +104,10 @@
 	t.load.pending.Store(r.Pending)
 	t.load.meanMilli.Store(uint32(r.MeanPending * 1000))
 	t.load.failingMilli.Store(uint32(r.Failing * 1000))
+	for i, rank := range r.ExcludedRanks {
+		t.load.excludedRanks[i].Store(math.Float64bits(rank))
+	}
+	t.load.serviceMicros.Store(uint32(r.ServiceTime.Microseconds()))
 	if !t.load.unresponsive.Swap(r.Unresponsive) && r.Unresponsive {
 		t.load.unresponsiveSince.Store(int64(now))
 	}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -148,7 +148,8 @@
 	FlowFound = Event{Number: 603, Level: log.InfoLevel, Name: "flow_found",
 		Message: "search found the owner of a flow", Fields: []string{"flow", "target", "queries", "waited"}}
 	SegmentRefused = Event{Number: 610, Level: log.InfoLevel, Name: "segment_refused",
-		Message: "segment refused; returning it to the balancer", Fields: []string{"flow", "reason", "attempt", "pending"}}
+		Message: "segment refused; returning it to the balancer", Fields: []string{"flow", "reason", "attempt", "pending", "expected_wait", "service_time",
+			"priority", "budget", "late"}}
 	SegmentReturned = Event{Number: 611, Level: log.InfoLevel, Name: "segment_returned",
 		Message: "target does not hold the flow or cannot open it; returning the segment", Fields: []string{"flow", "opening", "balancer"}}
 	AnswerUnusual = Event{Number: 612, Level: log.WarnLevel, Name: "answer_unusual",
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -54,6 +54,7 @@
 	StoreCalls, StoreErrors, PullErrors                    Counter
 	Flows, Pending, Version, Targets, ViewAge              Gauge
 	AnswerWait, OpeningToAnswer, StoreCall, Search         *Histogram
+	ExpectedWait, WaitError                                *Histogram
 
 	reasons     [maxReasons]Counter
 	reasonNames []string
@@ -131,13 +132,17 @@
 			func(m *SegmentMetrics) *Gauge { return &m.ViewAge }),
 		histogramDesc("answer_wait", "agent: time from the first data of a request, or from its last while the target is not known to hold the flow, to the first data of its answer",
 			func(m *SegmentMetrics) *Histogram { return m.AnswerWait }),
+		histogramDesc("expected_wait", "agent: expected value of answer_wait when the request arrived, for requests with an estimate",
+			func(m *SegmentMetrics) *Histogram { return m.ExpectedWait }),
+		histogramDesc("wait_error", "agent: difference between answer_wait and expected_wait",
+			func(m *SegmentMetrics) *Histogram { return m.WaitError }),
 		histogramDesc("opening_to_answer", "agent: time from the opening of a flow to the first data of its first answer",
 			func(m *SegmentMetrics) *Histogram { return m.OpeningToAnswer }),
 		histogramDesc("store_call", "balancer: duration of a call to the store; a watch without changes lasts until its timeout",
 			func(m *SegmentMetrics) *Histogram { return m.StoreCall }),
 		histogramDesc("search", "balancer: time from the first segment of an unknown flow to the reply of its owner's agent",
 			func(m *SegmentMetrics) *Histogram { return m.Search }),
-		{"decisions", "counters", "segments", "balancer: decisions by reason", func(m *SegmentMetrics) expvar.Var { return m.decisions() }},
+		{"decisions", "counters", "segments", "balancer: decisions by reason; agent: admissions by result, of which accepted ones are not counted", func(m *SegmentMetrics) expvar.Var { return m.decisions() }},
 	}
 }
 
@@ -155,6 +160,7 @@
 func NewSegmentMetrics(name string, reasons ...string) *SegmentMetrics {
 	m := &SegmentMetrics{
 		AnswerWait: newHistogram(), OpeningToAnswer: newHistogram(), StoreCall: newHistogram(), Search: newHistogram(),
+		ExpectedWait: newHistogram(), WaitError: newHistogram(),
 		reasonNames: reasons, vars: new(expvar.Map),
 	}
 	for _, desc := range SegmentMetricDescs() {
