Truncated and second answers no longer reach callers as complete ones

Cause, demo's path: the agent's HTTP client used connections again, so that a late second copy of an answer was delivered to the next caller; a response whose end is the end of the connection was taken as complete when the backend server died halfway; and the connections of a killed agent or balancer of a TCP service ended in an orderly way, so that half a response looked whole to the caller and half a request to the backend server. An agent whose HandOver came before its first configuration kept draining. Change: one connection for each request to the backend server; responses without a length are failures; relayed connections reset on close until both directions have ended; a failed HandOver ends draining.

--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -37,12 +38,15 @@
 	headerTrace = "traceparent"
 )
 
+// newBackendClient returns a client that uses a connection for one request only. On a
+// connection that is used again, a late second copy of a response would be taken for
+// the response to the next request.
 func newBackendClient() *http.Client {
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 64,
-		DisableCompression:  true,
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}}
 }
 
@@ -163,6 +167,9 @@
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		return failedResponse(schema.ErrorKind_BACKEND_SHED, errors.New(resp.Status))
 	}
+	if !framed(resp) {
+		return failedResponse(schema.ErrorKind_BACKEND_FAILED, errors.New("response without a length: its end cannot be told from a truncation"))
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
 	if err != nil {
 		return failedResponse(failureKind(ctx), err)
@@ -170,6 +177,12 @@
 	return offer.Response{Status: uint32(resp.StatusCode), Body: data}
 }
 
+// framed reports whether the end of the response's body is marked other than by the end
+// of the connection.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // notSent reports whether the connection to the backend server could not be
 // opened. No part of the request was sent in this case: because the body is not
 // rewindable, the client opens a connection only if it wrote nothing to another.
--- a/internal/agent/takeover.go
+++ b/internal/agent/takeover.go
@@ -16,8 +16,8 @@
 // waits until all requests have finished, closes all sockets and returns the
 // state of all flows. The successor binds the same local ports, so that the
 // backend server sees no change. The agent serves nothing afterwards. If ctx ends
-// before the requests have finished, HandOver returns an error and the agent
-// accepts new work again.
+// before the requests have finished, or the agent has no configuration yet,
+// HandOver returns an error and the agent accepts new work again.
 func (a *Agent) HandOver(ctx context.Context) (*rpcapi.Takeover, error) {
 	a.SetDraining(true)
 	if err := a.waitForRequests(ctx); err != nil {
@@ -27,6 +27,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.flows == nil {
+		a.draining = false
 		return nil, errors.New("the agent has no configuration yet")
 	}
 	now := time.Now()
--- a/internal/relay/balancer.go
+++ b/internal/relay/balancer.go
@@ -80,6 +80,7 @@
 		b.refuse(caller, service, schema.ErrorKind_REFUSED_OVERLOAD)
 		return
 	}
+	resetOnClose(caller, true)
 	pair.admit()
 	b.settings.Metrics.ConnectionsOpened.Inc()
 	b.settings.Metrics.Connections.Add(1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,11 +27,22 @@
 
 // abort closes a connection with a TCP reset.
 func abort(c *net.TCPConn) {
-	// SetLinger fails only on a closed connection.
-	_ = c.SetLinger(0)
+	resetOnClose(c, true)
 	c.Close()
 }
 
+// resetOnClose selects whether closing a connection resets it. The kernel closes the
+// connections of a process that is killed; without a reset, the peer would take the
+// part that it received for the whole.
+func resetOnClose(c *net.TCPConn, enabled bool) {
+	linger := -1
+	if enabled {
+		linger = 0
+	}
+	// SetLinger fails only on a closed connection.
+	_ = c.SetLinger(linger)
+}
+
 // connPair is a relayed connection. Its connections are the accepted one and the
 // outgoing one of each attempt.
 type connPair struct {
@@ -80,6 +91,8 @@
 		bytes int64
 		err   error
 	}
+	resetOnClose(a, true)
+	resetOnClose(b, true)
 	reverse := make(chan result, 1)
 	go func() {
 		bytes, err := p.copyDirection(a, b)
@@ -87,11 +100,16 @@
 	}()
 	bytes, err := p.copyDirection(b, a)
 	reverseResult := <-reverse
-	a.Close()
-	b.Close()
 	if err == nil {
 		err = reverseResult.err
 	}
+	if err == nil {
+		// Both ends of stream were sent; the rest of the data must still arrive.
+		resetOnClose(a, false)
+		resetOnClose(b, false)
+	}
+	a.Close()
+	b.Close()
 	return bytes + reverseResult.bytes, err
 }
 
