--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -37,7 +37,8 @@
 of the platform holds the path of the settings file.
 
 SIGTERM and SIGINT begin a graceful stop, SIGHUP reloads the settings. Exit
-status: 0 after a stop, 1 after an error, 2 if the settings are invalid.`,
+status: 0 after a stop that cut off nothing, 1 after an error, 2 if the settings
+are invalid, 3 if the stop cut off requests.`,
 	}
 	command.AddCommand(
 		nodeCommand("balancer", "Run a balancer on an entry host", false),
@@ -186,6 +187,9 @@
 			cut := process.Stop(ctx)
 			cancel()
 			logger.Log(telemetry.Stopped, "cut_flows", 0, "cut_requests", cut)
+			if cut > 0 {
+				return withExitStatus(exitCut, errors.Errorf("the stop cut off %d requests", cut))
+			}
 			return nil
 		}
 	}
--- a/internal/flow/contact_test.go
+++ b/internal/flow/contact_test.go
@@ -118,3 +118,27 @@
 	c.Assert(actionTypes(actions), qt.DeepEquals, []string{"flow.Forward"})
 	c.Check(actions[0].(Forward).Target, qt.Equals, uint32(2))
 }
+
+// Guards against a flow that is opened twice: its owner, dead in this agent's view, is
+// named by a reply but not queried because many candidates were queried before.
+func TestNamedOwnerIsQueriedBeyondTheLimit(t *testing.T) {
+	c := qt.New(t)
+	const owner = 100
+	core := newTestCore(100, schema.TimeoutAction_ANSWER_UNKNOWN_OUTCOME)
+	actions := core.HandlePacket(start, Packet{Key: keyAt(1, 0)})
+	query := actions[0].(SendQuery)
+	reply := &schema.AskReply{Sequence: query.Ask.Sequence, FlowHash: query.Ask.FlowHash, From: query.Target, Remembers: true}
+	for id := range uint32(2 * maxQueriesPerFlow) {
+		reply.Also = append(reply.Also, 10+id)
+	}
+	reply.Owner = owner
+	core.view.Dead = func(id uint32) bool { return id == owner }
+	queried := map[uint32]bool{}
+	for _, a := range core.HandleReply(start, reply) {
+		if q, ok := a.(SendQuery); ok {
+			queried[q.Target] = true
+		}
+	}
+	c.Check(queried[owner], qt.IsTrue, qt.Commentf("%v", queried))
+	c.Check(len(queried) <= maxQueriesPerFlow, qt.IsTrue)
+}
--- a/internal/flow/query.go
+++ b/internal/flow/query.go
@@ -230,13 +230,9 @@
 		c.forwardBuffered(waiting, r.Owner)
 		return c.actions
 	}
-	also := r.Also
-	if r.Owner != 0 {
-		// The reply names an owner that is dead in this agent's view. It is
-		// queried itself, like any other target that may own the flow.
-		also = append(slices.Clone(also), r.Owner)
-	}
-	c.queryAlso(now, waiting, also)
+	// An owner that the reply names is dead in this agent's view. It is queried itself,
+	// like any other target that may own the flow.
+	c.queryAlso(now, waiting, r.Also, r.Owner)
 	if waiting.complete() {
 		c.openAfterReplies(now, waiting)
 	}
@@ -245,14 +241,19 @@
 
 // queryAlso queries the candidates that a reply adds from the views of the
 // replying agent. A new agent has no earlier view, and an agent with an earlier
-// revision lacks later candidates.
-func (c *Core) queryAlso(now time.Time, waiting *pendingFlow, also []uint32) {
+// revision lacks later candidates. Owner is a target that the reply names as the owner; 0
+// if none. It is queried whatever the number of queries, because a flow must not be opened
+// while another target may hold it.
+func (c *Core) queryAlso(now time.Time, waiting *pendingFlow, also []uint32, owner uint32) {
+	if owner != 0 {
+		also = append(slices.Clone(also), owner)
+	}
 	known := func(id uint32) bool {
 		return id == c.self || slices.ContainsFunc(waiting.queries, func(q *query) bool { return q.target == id })
 	}
 	unqueried := slices.DeleteFunc(slices.Clone(also), known)
 	for _, id := range c.skipDead(waiting.key.Service, unqueried) {
-		if len(waiting.queries) < maxQueriesPerFlow {
+		if len(waiting.queries) < maxQueriesPerFlow || id == owner {
 			c.addQuery(now, waiting, id)
 		}
 	}
--- a/internal/generations/generations.go
+++ b/internal/generations/generations.go
@@ -22,13 +22,13 @@
 // Len returns the number of entries.
 func (m *Map[K, V]) Len() int { return len(m.young) + len(m.old) }
 
-// Get returns the value of a key and moves it to the younger generation.
+// Get returns the value of a key and moves it to the younger generation if there is room.
 func (m *Map[K, V]) Get(key K) (V, bool) {
 	if v, ok := m.young[key]; ok {
 		return v, true
 	}
 	v, ok := m.old[key]
-	if ok {
+	if ok && len(m.young) < m.limit {
 		m.young[key] = v
 		delete(m.old, key)
 	}
--- a/internal/generations/generations_test.go
+++ b/internal/generations/generations_test.go
@@ -58,3 +58,24 @@
 	m.All(func(int, int) bool { seen++; return true })
 	c.Assert(seen, qt.Equals, 1)
 }
+
+// Guards against a generation that grows beyond its limit because entries of the older one
+// are used.
+func TestUsedEntriesKeepTheLimit(t *testing.T) {
+	c := qt.New(t)
+	m := New[int, int](10)
+	for i := range 10 {
+		c.Assert(m.Put(i, i), qt.IsTrue)
+	}
+	m.Rotate(time.Second, time.Second, nil)
+	for i := 10; i < 20; i++ {
+		c.Assert(m.Put(i, i), qt.IsTrue)
+	}
+	for i := range 20 {
+		v, known := m.Get(i)
+		c.Assert(known, qt.IsTrue)
+		c.Assert(v, qt.Equals, i)
+	}
+	c.Check(len(m.young), qt.Equals, 10)
+	c.Check(m.Len(), qt.Equals, 20)
+}
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -131,8 +131,9 @@
 	policy Policy
 	tag    segment.Tag
 	flows  *generations.Map[segment.Flow, flowState]
-	// overflowed is set once a flow could not be recorded because the map was full.
-	overflowed bool
+	// overflowedAt is the time at which a flow could not be recorded because the map was
+	// full; 0 if no such flow can exist any more.
+	overflowedAt time.Duration
 
 	// openings holds accepted openings, begun requests that were sent to the target.
 	openings, begun flowQueue
@@ -244,7 +245,7 @@
 		after.startedAt = 0
 	}
 	if !t.flows.Put(flow, after) {
-		t.overflowed = true
+		t.overflowedAt = now
 	}
 	if ends && before.startedAt != 0 {
 		t.startNext(now)
@@ -324,7 +325,10 @@
 	var d Delivery
 	switch {
 	case head.Opening:
-		s.ended = false
+		if s.ended {
+			// The caller uses the port again; what is known is of the flow before.
+			s = flowState{sender: sender, previousSender: sender}
+		}
 		if !known || head.Copy == 0 {
 			s.openedAt = now
 		}
@@ -478,10 +482,10 @@
 }
 
 // Knows reports whether the tracker has recorded a flow, or could not record all flows
-// because the map was full.
+// lately because the map was full.
 func (t *Tracker) Knows(flow segment.Flow) bool {
 	_, known := t.flows.Get(flow)
-	return known || t.overflowed
+	return known || t.overflowedAt != 0
 }
 
 // FlowsOf returns at most limit flows that the target holds and that the balancer with
@@ -527,6 +531,9 @@
 			t.failures.record(now, true)
 		}
 	}
+	if now-t.overflowedAt >= flowTTL {
+		t.overflowedAt = 0
+	}
 	limit := pendingTimeoutFactor * t.failures.answerTimeout
 	for _, flow := range t.begun.removeOlder(now, limit) {
 		if s, known := t.flows.Get(flow); known && s.requestedAt != 0 && now-s.requestedAt >= limit {
--- a/internal/occupancy/occupancy_test.go
+++ b/internal/occupancy/occupancy_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
@@ -249,3 +250,37 @@
 	c.Check(tr.FlowsOf(1, 2), qt.HasLen, 2)
 	c.Check(tr.FlowsOf(7, 10), qt.HasLen, 0)
 }
+
+// Guards against an agent that never again says which flows its target does not hold after
+// its map was full once, and against one that says so while unrecorded flows may exist.
+func TestKnowsAfterOverflow(t *testing.T) {
+	c := qt.New(t)
+	tr := New("web")
+	tr.flows = generations.New[segment.Flow, flowState](1)
+	openFlow(tr, ms, 1)
+	c.Check(tr.Knows(opening(9).FromCaller()), qt.IsFalse)
+	openFlow(tr, time.Second, 2)
+	c.Check(tr.Knows(opening(9).FromCaller()), qt.IsTrue)
+	tr.Tick(flowTTL)
+	c.Check(tr.Knows(opening(9).FromCaller()), qt.IsTrue)
+	tr.Tick(time.Second + flowTTL)
+	c.Check(tr.Knows(opening(9).FromCaller()), qt.IsFalse)
+}
+
+// Guards against a flow that takes over what was observed of an earlier one, because the
+// caller uses the port again: its first request would count as a repetition, and the target
+// as the owner of a flow that opens elsewhere.
+func TestReusedPort(t *testing.T) {
+	c := qt.New(t)
+	tr := New("web")
+	openFlow(tr, ms, 1)
+	tr.Answered(30*ms, fromTarget(1, segment.Head{DataLength: 5}), Succeeded)
+	tr.Answered(31*ms, fromTarget(1, segment.Head{Ended: true}), NoOutcome)
+	c.Check(tr.Holds(opening(1).FromCaller()), qt.IsTrue)
+	tr.Delivered(time.Second, opening(1), mark, 0, nil)
+	c.Check(tr.Holds(opening(1).FromCaller()), qt.IsFalse)
+	tr.Answered(time.Second, fromTarget(1, segment.Head{Opening: true, Accepted: true}), NoOutcome)
+	tr.Delivered(time.Second, request(1), mark, 0, nil)
+	c.Check(tr.Pending(), qt.Equals, 1)
+	c.Check(tr.Answered(time.Second+9*ms, fromTarget(1, segment.Head{DataLength: 5}), Succeeded).Resolved, qt.IsTrue)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -224,7 +224,7 @@
 func (s *Set) Due(now time.Duration, urgent bool) []netip.AddrPort {
 	var due []netip.AddrPort
 	live := s.Live(now)
-	for _, address := range s.digestPeers(live, urgent) {
+	for _, address := range s.digestPeers(live) {
 		p := s.peers[address]
 		if urgent || now-p.lastSent >= DigestInterval {
 			p.lastSent = now
@@ -246,8 +246,9 @@
 }
 
 // digestPeers returns the live peers that get a digest: all of them in a small
-// fleet, otherwise the next fanout ones in turn.
-func (s *Set) digestPeers(live []netip.AddrPort, urgent bool) []netip.AddrPort {
+// fleet, otherwise the next fanout ones in turn. An urgent digest goes to no more: each
+// peer that it is news to sends an urgent digest of its own.
+func (s *Set) digestPeers(live []netip.AddrPort) []netip.AddrPort {
 	if len(live) <= fullMeshPeers {
 		return live
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/segment"
@@ -86,6 +87,8 @@
 	Cold bool
 	// Lapsed is set if the entry disappeared without a drain.
 	Lapsed bool
+	// LapseLeft is the time until a lapsed target is removed, when the table was sent.
+	LapseLeft time.Duration
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation of a
@@ -121,6 +124,19 @@
 // Table returns the target table in force.
 func (r *Registry) Table() Table { return r.table }
 
+// TableToSend returns the table in force for another process, which must not use lapsed
+// targets for longer than this one.
+func (r *Registry) TableToSend(now time.Duration) Table {
+	table := Table{Revision: r.table.Revision, Targets: slices.Clone(r.table.Targets)}
+	for i := range table.Targets {
+		t := &table.Targets[i]
+		if t.Lapsed {
+			t.LapseLeft = max(r.expires[t.ID]-now, 0)
+		}
+	}
+	return table
+}
+
 // AcceptRoutes puts a configuration into force if its version is higher than the
 // current one, and reports whether it did. The view never goes back to an earlier
 // version.
@@ -159,6 +175,9 @@
 			deadline, known := r.expires[t.ID]
 			if !known {
 				deadline = now + LapseGrace
+				if t.Lapsed {
+					deadline = now + min(t.LapseLeft, LapseGrace)
+				}
 				r.expires[t.ID] = deadline
 			}
 			if now >= deadline {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -60,13 +60,32 @@
 	c := qt.New(t)
 	r := New()
 	lapsed := entry("a", "10.0.0.1:80")
-	lapsed.Lapsed = true
+	lapsed.Lapsed, lapsed.LapseLeft = true, LapseGrace
 	r.AcceptTable(0, Table{Revision: 1, Targets: []Target{lapsed}})
 	r.AcceptTable(LapseGrace/2, Table{Revision: 2, Targets: []Target{lapsed}})
 	r.AcceptTable(LapseGrace, Table{Revision: 3, Targets: []Target{lapsed}})
 	c.Check(ids(r.Table()), qt.HasLen, 0)
 }
 
+// Guards against a target that has left and is in use again after restarts: each process
+// that starts takes it from the one before and gives it a grace period of its own.
+func TestGraceIsNotExtendedByRestarts(t *testing.T) {
+	c := qt.New(t)
+	first := New()
+	first.AcceptTable(0, Table{Revision: 1, Targets: []Target{entry("a", "10.0.0.1:80"), entry("b", "10.0.0.2:80")}})
+	first.AcceptTable(0, Table{Revision: 2, Targets: []Target{entry("b", "10.0.0.2:80")}})
+	const start = LapseGrace - 100*time.Millisecond
+	second := New()
+	second.AcceptTable(start, first.TableToSend(start))
+	c.Check(ids(second.Table()), qt.DeepEquals, []string{"b", "a lapsed"})
+	third := New()
+	third.AcceptTable(start+50*time.Millisecond, second.TableToSend(start+50*time.Millisecond))
+	for _, r := range []*Registry{first, second, third} {
+		r.Tick(LapseGrace)
+		c.Check(ids(r.Table()), qt.DeepEquals, []string{"b"})
+	}
+}
+
 // Guards against a lapsed target that keeps its address after another target took it.
 func TestReusedAddress(t *testing.T) {
 	c := qt.New(t)
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -502,23 +502,38 @@
 }
 
 // Stop stops the agent. It first reports that it is leaving and waits for
-// stopDelay or until ctx is done, so that balancers choose other targets for
-// new flows and fewer openings are lost. It returns the number of requests that
-// have no answer.
+// stopDelay, so that balancers choose other targets for new flows and fewer
+// openings are lost, and until the target has answered its requests or those
+// expired, but not longer than until ctx is done. It returns the number of requests that have no
+// answer.
 func (a *Agent) Stop(ctx context.Context) int {
 	a.mu.Lock()
 	a.tracker.RefuseOpenings()
 	a.lastLoad = &schema.LinkLoad{Leaving: true}
 	a.lastReport = 0
 	a.mu.Unlock()
-	timer := time.NewTimer(stopDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	start := a.clock.now()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for waiting := true; waiting; {
+		select {
+		case <-ctx.Done():
+			waiting = false
+		case <-ticker.C:
+			now := a.clock.now()
+			waiting = now-start < stopDelay || a.pending() > 0
+		}
 	}
 	a.close()
 	a.group.Wait()
+	return a.pending()
+}
+
+// pending returns the number of accepted openings and requests without an answer
+// that the target may still answer.
+func (a *Agent) pending() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return a.tracker.Pending()
 }
 
--- a/internal/segnode/sync.go
+++ b/internal/segnode/sync.go
@@ -20,6 +20,9 @@
 	// connTimeout is the time after which the connection of another balancer is
 	// closed. Each pull uses a new connection.
 	connTimeout = 10 * time.Second
+	// acceptBackoff is the delay after a failed accept, which would otherwise be
+	// repeated in a busy loop.
+	acceptBackoff = 10 * time.Millisecond
 	// rpcService is the name of the net/rpc service between balancers.
 	rpcService = "Balancer"
 )
@@ -48,7 +51,7 @@
 	if routes := s.balancer.registry.Routes(); routes.Version > have.Routes {
 		reply.Routes = &routes
 	}
-	if table := s.balancer.registry.Table(); table.Revision > have.Targets {
+	if table := s.balancer.registry.TableToSend(s.balancer.clock.now()); table.Revision > have.Targets {
 		reply.Table = &table
 	}
 	return nil
@@ -72,7 +75,13 @@
 				return nil
 			}
 			if err != nil {
-				return errors.Wrap(err, "accept a connection from a balancer")
+				// For example no free file descriptor. Peers pull again.
+				b.metrics.PullErrors.Inc()
+				if b.options.Logger.Allow(telemetry.PullFailed) {
+					b.options.Logger.Log(telemetry.PullFailed, "peer", address, "error", errors.Wrap(err, "accept a connection"))
+				}
+				time.Sleep(acceptBackoff)
+				continue
 			}
 			if err := conn.SetDeadline(time.Now().Add(connTimeout)); err != nil {
 				conn.Close()
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -396,8 +396,8 @@
 		return Verdict{Action: Reset, Reason: NoRoute, Flow: flow}
 	}
 	r, known := e.records.Get(flow)
-	if known && head.Copy < r.openings && r.target != nil {
-		// The network duplicated the segment.
+	if known && head.Copy < r.openings && r.target != nil && r.target.acceptsFlows() {
+		// The network duplicated the segment, or the caller uses the port again.
 		return e.forwardOpening(Opened, flow, route, r.target, head.Age)
 	}
 	if !known && head.Copy == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -517,3 +517,18 @@
 	f.now += firstReportTimeout
 	f.c.Check(f.firstTarget(opening(1, 0)), qt.Equals, f.targetOf(0))
 }
+
+// Guards against a new flow at a target that is leaving, because the caller uses a port
+// again whose earlier flow is recorded there.
+func TestReusedPortAvoidsLeavingTarget(t *testing.T) {
+	f := newFixture(t, 3)
+	first := f.firstTarget(opening(1, 0))
+	for i := range f.targets {
+		if f.targetOf(i) == first {
+			f.targets[i].Draining = true
+		}
+	}
+	f.setView(routes(1, "web"), 2)
+	f.c.Check(f.firstTarget(data(1)), qt.Equals, first)
+	f.c.Check(f.firstTarget(opening(1, 0)), qt.Not(qt.Equals), first)
+}
--- a/internal/telemetry/decisions.go
+++ b/internal/telemetry/decisions.go
@@ -33,9 +33,10 @@
 
 // lineBudget limits the lines of one event.
 type lineBudget struct {
+	mu sync.Mutex
 	// second is the number of the second, since processStart, to which used applies.
-	second atomic.Int64
-	used   atomic.Int32
+	second int64
+	used   int
 	// omitted counts the lines that Allow did not permit since the last line
 	// written.
 	omitted atomic.Int64
@@ -63,15 +64,21 @@
 // line as omitted if not. It is cheap, so that callers can check it before they
 // build the fields.
 func (d *DecisionLog) Allow(event Event) bool {
-	b := d.budgets[event.Number]
-	second := int64(time.Since(processStart) / time.Second)
-	if b.second.Swap(second) != second {
-		b.used.Store(0)
+	return d.budgets[event.Number].allow(int64(time.Since(processStart) / time.Second))
+}
+
+// allow reports whether another line fits the limit in the given second.
+func (b *lineBudget) allow(second int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if second > b.second {
+		b.second, b.used = second, 0
 	}
-	if b.used.Add(1) > decisionsPerSecond {
+	if b.used >= decisionsPerSecond {
 		b.omitted.Add(1)
 		return false
 	}
+	b.used++
 	return true
 }
 
--- a/internal/telemetry/segment_test.go
+++ b/internal/telemetry/segment_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,3 +133,26 @@
 	c.Check(w.out.String(), qt.Contains, `"name":"stopped"`)
 	d.Close()
 }
+
+// Guards against more lines than the limit when a second begins while several goroutines
+// ask.
+func TestLineLimitAtTheChangeOfASecond(t *testing.T) {
+	c := qt.New(t)
+	var b lineBudget
+	const seconds, askers = 20, 8
+	for second := range int64(seconds) {
+		var allowed atomic.Int64
+		var group sync.WaitGroup
+		for range askers {
+			group.Go(func() {
+				for range decisionsPerSecond {
+					if b.allow(second) {
+						allowed.Add(1)
+					}
+				}
+			})
+		}
+		group.Wait()
+		c.Check(allowed.Load() <= decisionsPerSecond, qt.IsTrue, qt.Commentf("second %d: %d", second, allowed.Load()))
+	}
+}
