--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -532,3 +532,44 @@
 	f.c.Check(f.firstTarget(data(1)), qt.Equals, first)
 	f.c.Check(f.firstTarget(opening(1, 0)), qt.Not(qt.Equals), first)
 }
+
+// Guards against a flow that is given up, or taken elsewhere, because the agent of its
+// target is silent or slow to report for a while: its requests may be running there.
+func TestSilentTargetKeepsItsFlows(t *testing.T) {
+	f := newFixture(t, 6)
+	owner := f.firstTarget(opening(1, 0))
+	for range 30 {
+		f.now += time.Second
+		f.reportIdle(owner)
+		f.engine.Tick(f.now, true)
+		v := f.engine.Segment(f.now, data(1))
+		f.c.Assert(v.Action, qt.Equals, Forward)
+		f.c.Assert(v.Targets()[0], qt.Equals, owner)
+	}
+	f.c.Check(owner.Silent(f.now), qt.IsTrue)
+	// A balancer that does not know the flow resets it only after every target, the
+	// silent one included, has said that it does not hold it.
+	other := &fixture{c: f.c, engine: New("z1", 0), now: f.now, targets: f.targets}
+	other.setView(routes(1, "web"), 1)
+	silent := other.engine.View().TargetOn(owner.Agent.Addr())
+	other.reportIdle(silent)
+	for range 2 * maxQueryRounds {
+		v := other.engine.Segment(other.now, data(1))
+		f.c.Assert(v.Action, qt.Not(qt.Equals), Reset)
+		for _, target := range v.Targets() {
+			if target != silent {
+				head := data(1)
+				head.Returned = true
+				v = other.engine.Returned(other.now, target.Agent.Addr(), head)
+				f.c.Assert(v.Action, qt.Not(qt.Equals), Reset)
+			}
+		}
+		other.now += requeryInterval
+		other.reportIdle(silent)
+		other.engine.Tick(other.now, true)
+		for _, flow := range other.engine.DueSearches(other.now) {
+			v := other.engine.ContinueSearch(other.now, flow)
+			f.c.Assert(v.Action, qt.Not(qt.Equals), Reset)
+		}
+	}
+}
