--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -560,8 +560,8 @@
 			if target != silent {
 				head := data(1)
 				head.Returned = true
-				v = other.engine.Returned(other.now, target.Agent.Addr(), head)
-				f.c.Assert(v.Action, qt.Not(qt.Equals), Reset)
+				returned := other.engine.Returned(other.now, target.Agent.Addr(), head)
+				f.c.Assert(returned.Action, qt.Not(qt.Equals), Reset)
 			}
 		}
 		other.now += requeryInterval
