Admission level shortens the wait instead of refusing at once; finer budgets

Cause: at 0.95 of the capacity 5 to 8 in a hundred requests were refused although targets had slots soon: an excluded opening was refused as soon as no slot was free, and the mark rounded an objective of 150 ms down to 130 ms. Change: openings above the level are taken up to a quarter of their longest wait; budgets in the mark have steps of 1.15; the level aims at a wait of 0.55 of the longest; reports count as drained at the usual rate before they are trusted. Pattern nearly-full.

--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// Guards against a refusal, near capacity, of requests that could be served in time while
+// targets idle for moments.
+func TestNearlyFullTargets(t *testing.T) {
+	c := qt.New(t)
+	r := run(c, "nearly-full", nil)
+	total, write := r.Total(), r.Class(Write)
+	c.Check(total.InTimeShare() >= 0.9, qt.IsTrue, qt.Commentf("%+v", total))
+	c.Check(write.InTimeShare() >= 0.95, qt.IsTrue, qt.Commentf("%+v", write))
+}
+
 // Guards against an overload of a whole day in which targets queue requests until all
 // answers are late, the urgent kind fares as badly as the others, or the others starve.
 func TestOverloadOfADay(t *testing.T) {
--- a/internal/loadmodel/patterns.go
+++ b/internal/loadmodel/patterns.go
@@ -25,6 +25,7 @@
 func Patterns() []Pattern {
 	return []Pattern{
 		{"steady", "half of the capacity", func(*Config) {}},
+		{"nearly-full", "0.95 of the capacity", func(c *Config) { c.scale(1.86) }},
 		{"restart", "all processes are down for 1.3 s at 0.45 of the capacity", func(c *Config) {
 			c.DownFrom, c.DownTo, c.StartSpread = 3*time.Second, 4300*time.Millisecond, 150*time.Millisecond
 			c.scale(0.9)
--- a/internal/occupancy/admission.go
+++ b/internal/occupancy/admission.go
@@ -10,6 +10,9 @@
 	// serviceMargin is the number of mean service times that an opening needs besides its
 	// wait: service times vary, and an answer after the objective is of little use.
 	serviceMargin = 1.5
+	// excludedWaitShare is the share of their longest wait up to which openings above the
+	// admission level are taken, so that the target does not idle for them.
+	excludedWaitShare = 0.25
 	// maxQueuePerSlot is the number of waiting requests per slot from which openings
 	// without an objective are refused, maxLoadRetries the number of refusals after which
 	// a target takes them even if it is busy.
@@ -28,7 +31,7 @@
 	ByTime bool
 	// LateToFreeSlots takes openings whose budget is used up only while a slot is free.
 	LateToFreeSlots bool
-	// Level takes only openings up to an admission level while requests wait.
+	// Level takes only openings up to an admission level while many requests wait.
 	Level bool
 	// LearnShed refuses openings when the target is expected to shed them.
 	LearnShed bool
@@ -53,10 +56,11 @@
 	case !t.policy.ByTime || mark.Budget == 0:
 		return mark.Attempt < maxLoadRetries && float64(t.pending) >= float64(w.slots)*(1+maxQueuePerSlot)
 	}
-	if wait, longest := t.waits(mark.Budget); wait > longest {
-		return true
+	wait, longest := t.waits(mark.Budget)
+	if t.policy.Level && t.level.excludes(mark.Priority, caller) {
+		longest = time.Duration(excludedWaitShare * float64(longest))
 	}
-	return t.policy.Level && t.level.excludes(mark.Priority, caller)
+	return wait > longest
 }
 
 // waits returns the expected wait of an opening that arrives now, and the longest one with
--- a/internal/occupancy/level.go
+++ b/internal/occupancy/level.go
@@ -10,7 +10,7 @@
 const (
 	// targetWaitShare is the share of an opening's longest wait above which the level
 	// falls. Requests vary, so that a longer queue makes some answers late.
-	targetWaitShare = 0.7
+	targetWaitShare = 0.55
 	// levelDecrease is the share by which an opening that would wait too long lowers the
 	// level, levelIncrease the amount by which any other one raises it.
 	levelDecrease, levelIncrease = 0.02, 0.005
--- a/internal/segment/mark.go
+++ b/internal/segment/mark.go
@@ -22,7 +22,7 @@
 	// above MaxPriority count as MaxPriority.
 	Priority uint8
 	// Budget is the time that is left of the latency objective of an opening; 0 if its
-	// route has no objective or Late is set. Pack rounds it down by up to a sixth.
+	// route has no objective or Late is set. Pack rounds it down by up to an eighth.
 	Budget time.Duration
 	// Late is set if the latency objective is over, so that the answer will be late.
 	Late bool
@@ -43,11 +43,11 @@
 	maxBudgetCode = 1<<priorityShift - 1
 	// minBudget is the smallest budget that a code stands for, budgetStep the ratio of
 	// the budgets of two successive codes.
-	minBudget  = time.Millisecond
-	budgetStep = 1.19
+	minBudget  = 5 * time.Millisecond
+	budgetStep = 1.15
 )
 
-// budgets holds the budget of each code: 1 ms to 40 s.
+// budgets holds the budget of each code: 5 ms to 25 s.
 var budgets = func() (b [maxBudgetCode + 1]time.Duration) {
 	budget := float64(minBudget)
 	for code := minBudgetCode; code <= maxBudgetCode; code++ {
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -153,9 +153,13 @@
 }
 
 // expectsRefusal reports whether the last report of a target says that its agent refuses
-// the opening of a verdict.
-func (e *Engine) expectsRefusal(t *Target, v *Verdict) bool {
+// the opening of a verdict, even if the target has answered requests at its usual rate
+// since.
+func (e *Engine) expectsRefusal(now time.Duration, t *Target, v *Verdict) bool {
 	pending := float64(t.load.pending.Load()) + sentWeight*float64(t.openingsSent)
+	if service := time.Duration(t.load.serviceMicros.Load()) * time.Microsecond; service > 0 {
+		pending -= t.slots() * float64(t.ReportAge(now)) / float64(service)
+	}
 	if pending < t.slots() {
 		return false
 	}
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -521,7 +521,7 @@
 		return e.refuseOpening(flow, r, Refused)
 	}
 	v := e.forwardOpening(Retried, flow, route, t, age)
-	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(t, &v) {
+	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(now, t, &v) {
 		return e.refuseOpening(flow, r, Overloaded)
 	}
 	r.supersede(s, t)
