--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -181,6 +181,10 @@
 	c.Check(r.PassesPerOpening() <= 2, qt.IsTrue, qt.Commentf("%.2f", r.PassesPerOpening()))
 	without := run(c, "retry-storm", mechanism(c, "admission level").disable)
 	total = without.Total()
+	atOnce := run(c, "retry-at-once", nil)
+	served := atOnce.Total()
+	c.Check(served.InTimeShare() >= 0.95*best, qt.IsTrue, qt.Commentf("%.3f of %.3f", served.InTimeShare(), best))
+	c.Check(atOnce.PassesPerOpening() <= 2, qt.IsTrue, qt.Commentf("%.2f", atOnce.PassesPerOpening()))
 	c.Check(total.InTimeShare() < 0.95*best, qt.IsTrue, qt.Commentf("%.3f of %.3f", total.InTimeShare(), best))
 }
 
--- a/internal/loadmodel/patterns.go
+++ b/internal/loadmodel/patterns.go
@@ -53,6 +53,10 @@
 			c.Targets[3].Speed /= 4
 			c.scale(1.6)
 		}},
+		{"retry-at-once", "1.3 times the capacity, failed tries come back after 5 ms", func(c *Config) {
+			c.RetryDelay = 5 * time.Millisecond
+			c.scale(2.6)
+		}},
 		{"retry-storm", "1.3 times the capacity, failed tries come back after 20 ms", func(c *Config) {
 			c.RetryDelay = 20 * time.Millisecond
 			c.scale(2.6)
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -339,17 +339,9 @@
 	b.peers.Leave()
 	b.mu.Unlock()
 	start := b.clock.now()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for waiting := true; waiting; {
-		select {
-		case <-ctx.Done():
-			waiting = false
-		case <-ticker.C:
-			now := b.clock.now()
-			waiting = now-start < minStopDelay || now-time.Duration(b.lastPacket.Load()) < stopIdleTimeout
-		}
-	}
+	waitWhile(ctx, b.clock, func(now time.Duration) bool {
+		return now-start < minStopDelay || now-time.Duration(b.lastPacket.Load()) < stopIdleTimeout
+	})
 	b.cancel()
 	for _, closer := range []interface{ Close() error }{b.packets, b.link, b.rpc} {
 		if err := closer.Close(); err != nil {
--- /dev/null
+++ b/internal/segnode/report.go
@@ -0,0 +1,85 @@
+package segnode
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/schema"
+	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/telemetry"
+)
+
+// tick expires idle flows, sends due reports and logs changes in the state of
+// the target.
+func (a *Agent) tick(now time.Duration) {
+	a.mu.Lock()
+	a.tracker.Tick(now)
+	a.tracker.SetPeriod(segment.RankPeriodAt(time.Now()))
+	load := &schema.LinkLoad{
+		ServiceTag:       uint32(a.tracker.Tag()),
+		Pending:          uint32(max(a.tracker.Pending(), 0)),
+		MeanPendingMilli: uint32(a.tracker.Mean(now) * 1000),
+		Unresponsive:     a.tracker.Unresponsive(now),
+		Leaving:          a.lastLoad.GetLeaving(),
+		Complete:         a.coverage.Complete(now),
+		FailingMilli:     uint32(a.tracker.Failing(now) * 1000),
+		ServiceMicros:    uint32(a.tracker.ServiceTime().Microseconds()),
+		ExcludedShares:   excludedShares(a.tracker.ExcludedRanks()),
+	}
+	var to []netip.AddrPort
+	if a.reportDue(now, load) {
+		a.lastReport, a.lastLoad = now, load
+		for _, entry := range a.balancers {
+			if entry.link.IsValid() && now-entry.lastPing < balancerTTL {
+				to = append(to, entry.link)
+			}
+		}
+	}
+	changed := load.Unresponsive != a.loggedUnresponsive
+	a.loggedUnresponsive = load.Unresponsive
+	share := a.tracker.Failing(now)
+	startedFailing, stoppedFailing := !a.loggedFailing && share > failingAbove, a.loggedFailing && share < failingBelow
+	a.loggedFailing = startedFailing || a.loggedFailing && !stoppedFailing
+	a.mu.Unlock()
+	a.metrics.Pending.Set(int64(load.Pending))
+	if changed {
+		a.options.Logger.Log(telemetry.TargetResponds, "responds", !load.Unresponsive, "pending", load.Pending)
+	}
+	if startedFailing || stoppedFailing {
+		a.options.Logger.Log(telemetry.TargetFailing, "failing", startedFailing, "share", math.Round(share*100)/100, "pending", load.Pending)
+	}
+	message := &schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: load}}
+	for _, address := range to {
+		a.out.message(a.link, message, address)
+	}
+}
+
+// excludedShares encodes the excluded ranks of a load report: one byte for each
+// priority, the highest one first, with the share of callers that is excluded in
+// 255ths.
+func excludedShares(ranks [segment.MaxPriority + 1]float64) (shares uint32) {
+	for _, rank := range ranks {
+		shares = shares<<8 | uint32((1-rank)*math.MaxUint8)
+	}
+	return shares
+}
+
+// excludedRanks is the inverse of excludedShares.
+func excludedRanks(shares uint32) (ranks [segment.MaxPriority + 1]float64) {
+	for i := range ranks {
+		ranks[i] = 1 - float64(uint8(shares>>(8*(segment.MaxPriority-i))))/math.MaxUint8
+	}
+	return ranks
+}
+
+// reportDue reports whether a load report has to be sent now. The caller must
+// hold a.mu.
+func (a *Agent) reportDue(now time.Duration, load *schema.LinkLoad) bool {
+	age := now - a.lastReport
+	if a.lastReport == 0 || load.Unresponsive != a.lastLoad.GetUnresponsive() {
+		return true
+	}
+	spacing := time.Duration(len(a.balancers)) * time.Second / reportsPerSecond
+	return age >= reportInterval || load.Pending != a.lastLoad.GetPending() && age >= spacing
+}
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -85,6 +85,23 @@
 // Ended returns the channel that receives the error of a task that failed.
 func (t *tasks) Ended() <-chan error { return t.failed }
 
+// waitWhile waits while a condition holds, at least until the next tick and at most until
+// ctx is done.
+func waitWhile(ctx context.Context, c clock, condition func(now time.Duration) bool) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !condition(c.now()) {
+				return
+			}
+		}
+	}
+}
+
 // clock returns the monotonic time since the start of the process.
 type clock struct{ start time.Time }
 
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -5,9 +5,7 @@
 package steering
 
 import (
-	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/generations"
@@ -386,98 +384,6 @@
 	return v
 }
 
-// placeOpening decides on an opening from a caller.
-func (e *Engine) placeOpening(now time.Duration, flow segment.Flow, head segment.Head) Verdict {
-	route := e.view.routes[flow.Service]
-	if route == nil {
-		if !e.confirmed {
-			return Verdict{Reason: NoRoute, Flow: flow}
-		}
-		return Verdict{Action: Reset, Reason: NoRoute, Flow: flow}
-	}
-	r, known := e.records.Get(flow)
-	if known && head.Copy < r.openings && r.target != nil && r.target.acceptsFlows() {
-		// The network duplicated the segment, or the caller uses the port again.
-		return e.forwardOpening(Opened, flow, route, r.target, head.Age)
-	}
-	if !known && head.Copy == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
-		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
-	}
-	if route.Timeout > 0 && head.Age >= route.Timeout {
-		return e.refuseOpening(flow, r, Expired)
-	}
-	service := route.Service(flow.Hash())
-	if now-e.viewSince < firstReportTimeout && !e.anyReported(service) {
-		return Verdict{Action: Wait, Reason: Unreported, Flow: flow}
-	}
-	t := e.choose(now, service, flow, func(t *Target) bool { return t == r.target })
-	if t == nil {
-		t = r.target
-	}
-	if t == nil {
-		return Verdict{Reason: NoTarget, Flow: flow}
-	}
-	reason := Opened
-	if head.Copy > 0 {
-		reason = Repeated
-	}
-	if r.target != t {
-		r.supersede(e.searches[flow], t)
-	}
-	r.openings = head.Copy + 1
-	if !e.records.Put(flow, r) {
-		return Verdict{Reason: TableFull, Flow: flow}
-	}
-	if s := e.searches[flow]; s != nil {
-		s.include(t)
-	}
-	t.openingsSent++
-	return e.forwardOpening(reason, flow, route, t, head.Age)
-}
-
-// supersede makes t the target of an opening. The earlier target may hold the flow
-// unless it returned the opening.
-func (r *record) supersede(s *search, t *Target) {
-	if r.target != nil && !(s != nil && s.excludes(r.target)) {
-		r.forgotten = r.forgotten || r.previous != nil && !(s != nil && s.excludes(r.previous))
-		r.previous = r.target
-	}
-	r.target = t
-}
-
-// forwardOpening returns the verdict that sends an opening of the given age to a target.
-func (e *Engine) forwardOpening(reason Reason, flow segment.Flow, route *registry.Route, t *Target, age time.Duration) Verdict {
-	v := forwardTo(reason, flow, t, 0)
-	v.setUrgency(route, age)
-	return v
-}
-
-// refuseOpening ends an opening that cannot be served. The caller gets a reset, which
-// says that its request has not run, unless a target that got a copy of the opening has
-// not returned it: that target may have accepted the flow.
-func (e *Engine) refuseOpening(flow segment.Flow, r record, reason Reason) Verdict {
-	s := e.searches[flow]
-	outstanding := func(t *Target) bool { return t != nil && !(s != nil && s.excludes(t)) }
-	if r.forgotten || outstanding(r.target) || outstanding(r.previous) {
-		return Verdict{Reason: reason, Flow: flow}
-	}
-	return Verdict{Action: Reset, Reason: reason, Flow: flow}
-}
-
-// anyReported reports whether any target of a service has reported, or the service has
-// no targets.
-func (e *Engine) anyReported(service string) bool {
-	targets := e.view.services[service]
-	return len(targets) == 0 || slices.ContainsFunc(targets, (*Target).Reported)
-}
-
-// shouldDivert reports whether a new flow should go to another balancer. The hash of
-// the flow selects the diverted share.
-func (e *Engine) shouldDivert(now time.Duration, flow segment.Flow) bool {
-	excess := e.load.excess(now, flow.Service)
-	return excess > 0 && float64(mix(flow.Hash()^divertSalt)) < excess*math.MaxUint64
-}
-
 // Returned decides on a segment that a target or its agent returned. From is the
 // agent's host; its target may no longer be in the view.
 func (e *Engine) Returned(now time.Duration, from netip.Addr, head segment.Head) Verdict {
@@ -490,44 +396,3 @@
 	}
 	return e.flowReturned(now, from, flow)
 }
-
-// openingReturned retries an opening on the next target.
-func (e *Engine) openingReturned(now time.Duration, from netip.Addr, flow segment.Flow, head segment.Head) Verdict {
-	route := e.view.routes[flow.Service]
-	if route == nil {
-		return Verdict{Reason: NoRoute, Flow: flow}
-	}
-	s := e.searchFor(now, flow)
-	if s == nil {
-		return Verdict{Reason: TableFull, Flow: flow}
-	}
-	s.exclude(from)
-	mark := segment.Unpack(head.Mark)
-	if mark.Busy {
-		s.busyReturns++
-	}
-	r, _ := e.records.Get(flow)
-	if head.Copy+1 < r.openings && r.target.onHost(from) {
-		// The target has a later copy too and decides on that one.
-		s.include(r.target)
-		return Verdict{Reason: Retried, Flow: flow}
-	}
-	age := head.Age + now - s.started
-	if s.busyReturns >= e.policy.MaxBusyReturns {
-		return e.refuseOpening(flow, r, Overloaded)
-	}
-	t := e.choose(now, route.Service(flow.Hash()), flow, s.excludes)
-	if t == nil {
-		return e.refuseOpening(flow, r, Refused)
-	}
-	v := e.forwardOpening(Retried, flow, route, t, age)
-	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(now, t, &v) {
-		return e.refuseOpening(flow, r, Overloaded)
-	}
-	r.supersede(s, t)
-	r.openings = max(r.openings, head.Copy+1)
-	e.records.Put(flow, r)
-	t.openingsSent++
-	v.Attempt = mark.Attempt + 1
-	return v
-}
