--- a/internal/segnode/size_test.go
+++ b/internal/segnode/size_test.go
@@ -20,7 +20,7 @@
 	sizes := map[string]int{
 		"ping": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{Slots: 100, ServiceTag: 60000}}}),
 		"load": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: &schema.LinkLoad{ServiceTag: 60000, Pending: 200,
-			MeanPendingMilli: 200000, Complete: true}}}),
+			MeanPendingMilli: 200000, Complete: true, FailingMilli: 500, ServiceMicros: 100000, ExcludedShares: 1 << 31}}}),
 		"query": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Query{Query: &schema.LinkQuery{Flow: make([]byte, 12)}}}),
 	}
 	sizes["described ping"] = proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{Slots: 100, ServiceTag: 60000,
--- a/internal/steering/bench_test.go
+++ b/internal/steering/bench_test.go
@@ -10,6 +10,9 @@
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
+// benchTime is the time of all decisions of the benchmarks.
+const benchTime = 2 * time.Second
+
 // newBenchEngine returns an engine with targets of one service in 15 zones.
 func newBenchEngine(targets int) *Engine {
 	var table registry.Table
@@ -19,7 +22,10 @@
 	}
 	e := New("z0", 0)
 	e.SetView(time.Second, NewView(time.Second, nil, routes(1, "web"), table, agentPort))
-	e.Tick(time.Second, true)
+	for _, t := range e.View().Targets() {
+		t.Report(benchTime, Report{Pending: 2, MeanPending: 2, ServiceTime: 30 * time.Millisecond, Complete: true})
+	}
+	e.Tick(benchTime, true)
 	return e
 }
 
@@ -36,7 +42,7 @@
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			e := newBenchEngine(targets)
 			for i := 0; b.Loop(); i++ {
-				e.Segment(time.Second, benchOpening(i&0xffff))
+				e.Segment(benchTime, benchOpening(i&0xffff))
 				if i&0xffff == 0xffff {
 					e.records.Rotate(time.Duration(i)*time.Hour, 0, nil)
 				}
@@ -49,10 +55,10 @@
 func BenchmarkKnownFlow(b *testing.B) {
 	e := newBenchEngine(50)
 	head := benchOpening(1)
-	e.Segment(time.Second, head)
+	e.Segment(benchTime, head)
 	head.Opening = false
 	for b.Loop() {
-		e.Segment(time.Second, head)
+		e.Segment(benchTime, head)
 	}
 }
 
