--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -43,6 +43,11 @@
 		Revision: 1,
 		HashKey:  []byte("0123456789abcdef"),
 		Members:  []*schema.Member{{Name: "m", Weight: 1}},
+		// With the default action, agents that started together open no flow.
+		Policies: []*schema.Policy{{
+			Name: "all", Services: &schema.Selector{}, TimeoutAction: schema.TimeoutAction_OPEN_ON_TIMEOUT,
+			IdleTimeoutMs: 60000, Classes: []*schema.Class{{Name: "c", Weight: 1, QueueLimit: 64}},
+		}},
 		Services: []*schema.Service{{
 			Id: 1, Name: "s", Member: "m", Mode: schema.Mode_DATAGRAM, Address: "192.0.2.1:7000",
 			Targets: &schema.Selector{Requirements: []*schema.Requirement{{Key: "pool", Operator: schema.Requirement_EXISTS}}},
@@ -230,6 +235,9 @@
 	}
 }
 
+// deliveryTimeout bounds the wait for a packet that the agent should deliver.
+const deliveryTimeout = 10 * time.Second
+
 // BenchmarkQueryRound reports the time from the first packet of a flow to its
 // delivery while the agent is unsettled and queries the other candidates, and the
 // total processor time of all agents. With one target there are no queries.
@@ -247,6 +255,9 @@
 				data, _ := wire.AppendFrame(nil, firstPacket(i, 100, localAddr(sender)))
 				sent := time.Now()
 				sender.WriteToUDPAddrPort(data, a.Tunnel().Local())
+				if err := sink.SetReadDeadline(sent.Add(deliveryTimeout)); err != nil {
+					b.Fatal(err)
+				}
 				if _, _, err := sink.ReadFromUDPAddrPort(buf); err != nil {
 					b.Fatal(err)
 				}
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -139,3 +139,37 @@
 		qt.Check(t, actions, qt.HasLen, 1)
 	}
 }
+
+// Guards against an answer that reaches another request than its own, because a copy of it
+// arrives late or carries the token of an earlier try, and against half an answer that
+// finishes a request.
+func TestForeignAndPartialAnswersDoNotFinish(t *testing.T) {
+	c := qt.New(t)
+	m := request.New(1, rand.New(rand.NewPCG(seed, seed)))
+	answer := func(id, sequence uint64, index, count uint32, text string) *schema.CallerPacket {
+		return &schema.CallerPacket{RequestId: id, Token: token(sequence), Body: &schema.CallerPacket_Answer{
+			Answer: &schema.Fragment{Index: index, Count: count, Data: []byte(text), Status: 200}}}
+	}
+	first, _ := m.Start(epoch, request.Call{Deadline: epoch.Add(time.Second)})
+	m.Receive(epoch, offerPacket(first, 1))
+	end, finished := lastAction[request.Finished](m.Receive(epoch, answer(first, 1, 0, 1, "one")))
+	c.Assert(finished, qt.IsTrue)
+	c.Check(string(end.Response.Body), qt.Equals, "one")
+
+	second, _ := m.Start(epoch, request.Call{Deadline: epoch.Add(time.Second)})
+	m.Receive(epoch, offerPacket(second, 2))
+	full := strings.Repeat("x", wire.MaxFragment)
+	for _, p := range []*schema.CallerPacket{
+		answer(first, 1, 0, 1, "one"),  // a late copy of the answer before
+		answer(second, 1, 0, 1, "one"), // the token of another request
+		answer(second, 2, 0, 2, full),  // the first half of its own answer
+		answer(second, 2, 0, 2, full),
+		answer(second, 2, 0, 1, "one"), // an answer of another length
+	} {
+		_, finished := lastAction[request.Finished](m.Receive(epoch, p))
+		c.Check(finished, qt.IsFalse, qt.Commentf("%v", p))
+	}
+	end, finished = lastAction[request.Finished](m.Receive(epoch, answer(second, 2, 1, 2, "end")))
+	c.Assert(finished, qt.IsTrue)
+	c.Check(string(end.Response.Body), qt.Equals, full+"end")
+}
