--- a/internal/occupancy/admission_test.go
+++ b/internal/occupancy/admission_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// Guards against a target whose service time is never learnt because its protocol has no
+// status.
+func TestServiceTimeWithoutStatus(t *testing.T) {
+	c := qt.New(t)
+	for _, last := range []segment.Head{
+		{Source: callerAt(1), Destination: service, Ended: true},
+		{Source: callerAt(1), Destination: service, Sequence: 100, DataLength: 50},
+	} {
+		tr := New("web")
+		tr.SetSlots(4)
+		openFlow(tr, ms, 1)
+		tr.Answered(31*ms, fromTarget(1, segment.Head{DataLength: 500}), NoOutcome)
+		c.Check(tr.ServiceTime(), qt.Equals, time.Duration(0))
+		tr.Delivered(40*ms, last, mark, 0, nil)
+		c.Check(tr.ServiceTime(), qt.Equals, 30*ms)
+		c.Check(tr.Failing(40*ms), qt.Equals, 0.0)
+	}
+}
+
 // Guards against a service time that includes the wait for a slot: the target would look
 // slower the longer its queue is.
 func TestServiceTimeExcludesTheWait(t *testing.T) {
--- a/internal/occupancy/answers.go
+++ b/internal/occupancy/answers.go
@@ -50,6 +50,7 @@
 			d.Abandoned, d.Request, d.Waited = true, s.request, now-s.requestedAt
 		}
 		s.requestedAt, s.opening, s.ended = 0, false, true
+		t.endWithoutOutcome(&s)
 	case head.DataLength > 0 && !s.retransmits(head):
 		if s.acceptedAt != 0 {
 			t.work.observeRoundTrip(now - s.acceptedAt)
@@ -58,6 +59,7 @@
 		s.opening = false
 		s.dataEnd, s.hasData = head.DataEnd(), true
 		if s.requestedAt == 0 {
+			t.endWithoutOutcome(&s)
 			t.begun = append(t.begun, flowAt{flow, now})
 		}
 		if s.requestedAt == 0 || !s.held {
@@ -172,6 +174,15 @@
 	}
 }
 
+// endWithoutOutcome ends a request whose answer came without a status. Its service time
+// counts, because not all protocols have a status.
+func (t *Tracker) endWithoutOutcome(s *flowState) {
+	if s.outcomeDue && s.served != 0 {
+		t.work.observe(s.served)
+	}
+	s.outcomeDue = false
+}
+
 // resolve records the outcome of a request.
 func (t *Tracker) resolve(now time.Duration, s *flowState, failed bool) {
 	if !s.countedFailed || !failed {
