Refused openings keep no state; the age of an opening counts once

Cause: each refused opening kept a search for 2.5 s and a record for a generation, so that more than 8,192 refusals in that time filled the table of searches and further openings were dropped without a word. A returned second copy added the time since the first copy's return to its age. Change: a reset of an opening deletes both; the age is that of the copy. Result: TestRefusalsKeepNoState fails before and passes now.

--- a/internal/occupancy/level.go
+++ b/internal/occupancy/level.go
@@ -25,8 +25,9 @@
 
 // level limits admission under overload as DAGOR does (Zhou et al., "Overload Control for
 // Scaling WeChat Microservices", SoCC 2018). Openings are ranked by priority, then by
-// caller, and those above the level are refused. A caller's further tries fare like its
-// first one, so that no slot goes to tries whose objective passed during earlier ones.
+// caller, and those above the level find the queue full at a shorter wait. A caller's
+// further tries fare like its first one, so that no slot goes to tries whose objective
+// passed during earlier ones.
 type level struct {
 	// admitted is the share of the demand that is taken, from minLevel to 1.
 	admitted float64
--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -78,13 +78,16 @@
 
 // refuseOpening ends an opening that cannot be served. The caller gets a reset, which
 // says that its request has not run, unless a target that got a copy of the opening has
-// not returned it: that target may have accepted the flow.
+// not returned it: that target may have accepted the flow. Nothing is kept of a flow that
+// is reset, so that a storm of refusals does not fill the tables.
 func (e *Engine) refuseOpening(flow segment.Flow, r record, reason Reason) Verdict {
 	s := e.searches[flow]
 	outstanding := func(t *Target) bool { return t != nil && !(s != nil && s.excludes(t)) }
 	if r.forgotten || outstanding(r.target) || outstanding(r.previous) {
 		return Verdict{Reason: reason, Flow: flow}
 	}
+	e.records.Delete(flow)
+	delete(e.searches, flow)
 	return Verdict{Action: Reset, Reason: reason, Flow: flow}
 }
 
@@ -123,7 +126,6 @@
 		s.include(r.target)
 		return Verdict{Reason: Retried, Flow: flow}
 	}
-	age := head.Age + now - s.started
 	if s.busyReturns >= e.policy.MaxBusyReturns {
 		return e.refuseOpening(flow, r, Overloaded)
 	}
@@ -131,7 +133,7 @@
 	if t == nil {
 		return e.refuseOpening(flow, r, Refused)
 	}
-	v := e.forwardOpening(Retried, flow, route, t, age)
+	v := e.forwardOpening(Retried, flow, route, t, head.Age)
 	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(now, t, &v) {
 		return e.refuseOpening(flow, r, Overloaded)
 	}
--- a/internal/steering/openings_test.go
+++ b/internal/steering/openings_test.go
@@ -100,6 +100,21 @@
 	f.c.Check(v.Reason, qt.Equals, Overloaded)
 }
 
+// Guards against tables that a storm of refused openings fills, so that openings which
+// could be served are dropped.
+func TestRefusalsKeepNoState(t *testing.T) {
+	f := newFixture(t, 6)
+	for i := range 2 * maxSearches {
+		v := f.engine.Segment(f.now, opening(i, 0))
+		for v.Action == Forward {
+			v = f.returnOpening(v, opening(i, 0), true)
+		}
+		f.c.Assert(v.Action, qt.Equals, Reset)
+	}
+	f.c.Check(f.engine.Searches(), qt.Equals, 0)
+	f.c.Check(f.engine.Flows(), qt.Equals, 0)
+}
+
 // Guards against openings without their route's priority and objective, and against an
 // objective that counts from the last copy.
 func TestMarkOfAnOpening(t *testing.T) {
