--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -56,6 +56,7 @@
 // Guards against a refusal of requests that could be served in time, and against openings
 // that are passed around, below capacity.
 func TestSteadyLoadIsServedInTime(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	for _, pattern := range []string{"steady", "shift"} {
 		r := run(c, pattern, nil)
@@ -68,6 +69,7 @@
 // Guards against a refusal, near capacity, of requests that could be served in time while
 // targets idle for moments.
 func TestNearlyFullTargets(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	r := run(c, "nearly-full", nil)
 	total, write := r.Total(), r.Class(Write)
@@ -78,6 +80,7 @@
 // Guards against an overload of a whole day in which targets queue requests until all
 // answers are late, the urgent kind fares as badly as the others, or the others starve.
 func TestOverloadOfADay(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	best := bestShare(config(c, "overload"))
 	r := run(c, "overload", nil)
@@ -100,6 +103,7 @@
 
 // Guards against a burst of one kind that takes from another what it would get alone.
 func TestBurstOfOneKind(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	steady, burst := run(c, "steady", nil), run(c, "burst", nil)
 	alone, write := steady.Class(Write), burst.Class(Write)
@@ -117,6 +121,7 @@
 
 // Guards against a burst of the urgent kind after which the other one gets nothing.
 func TestBurstOfTheUrgentKind(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	r := run(c, "urgent-burst", nil)
 	write, read := r.Class(Write), r.Class(Read)
@@ -131,6 +136,7 @@
 // new tries arrive together, and those that are late already are served before those that
 // can be in time.
 func TestRestartOfAllProcesses(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	for _, test := range []struct {
 		pattern string
@@ -155,6 +161,7 @@
 // Guards against cold or slow targets that get as many requests as the others, so that
 // their answers are late.
 func TestColdAndSlowTargets(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	for _, pattern := range []string{"cold", "slow-target"} {
 		best := bestShare(config(c, pattern))
@@ -172,6 +179,7 @@
 // Guards against a storm of retries in which slots go to tries whose callers' objective
 // has passed, and against openings that circle among full targets.
 func TestRetryStorm(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	best := bestShare(config(c, "retry-storm"))
 	r := run(c, "retry-storm", nil)
@@ -191,6 +199,7 @@
 // Guards against targets whose queue is shorter than the budgets of their requests and
 // that shed them for that.
 func TestShortQueues(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	short := func(config *Config) {
 		for i := range config.Targets {
@@ -207,12 +216,14 @@
 
 // Guards against results that differ from one run of a seed to the next.
 func TestRunsRepeat(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	c.Check(run(c, "restart", nil), qt.DeepEquals, run(c, "restart", nil))
 }
 
 // Guards against a table that lacks a mechanism.
 func TestAblationTable(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	var out bytes.Buffer
 	p, _ := Named("burst")
