--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -429,8 +429,8 @@
 // Stop stops the agent. It first reports that it is leaving and waits for
 // stopDelay, so that balancers choose other targets for new flows and fewer
 // openings are lost, and until the target has answered its requests or those
-// expired, but not longer than until ctx is done. It returns the number of requests that have no
-// answer.
+// expired, but not longer than until ctx is done. It returns the number of
+// requests that have no answer and have not expired.
 func (a *Agent) Stop(ctx context.Context) int {
 	a.mu.Lock()
 	a.tracker.RefuseOpenings()
