Odd entries cost only themselves

A good entry that is overwritten by an odd one counts as gone after the grace period, as the protocol says; keeping the last good one would keep a target that its operator replaced by nothing readable.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -104,14 +104,9 @@
 		})
 	}
 	common.Link = settings.Control
-	logUnusable := func(key string, err error) {
-		if logger.Allow(telemetry.EntryUnusable) {
-			logger.Log(telemetry.EntryUnusable, "key", key, "error", err)
-		}
-	}
 	return segnode.StartBalancer(segnode.BalancerOptions{
 		Common: common, AgentLinkPort: settings.AgentLinkPort, Seeds: settings.Seeds,
-		Source: platform.NewStore(settings.Store, logUnusable), LinkRate: settings.LinkRate, Cores: settings.Cores,
+		Source: platform.NewStore(settings.Store), LinkRate: settings.LinkRate, Cores: settings.Cores,
 	})
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
@@ -17,6 +19,16 @@
 // within two seconds.
 const LapseGrace = 2 * time.Second
 
+const (
+	// maxNameBytes bounds the names of services and zones and the IDs of targets, which
+	// appear in logs and messages: the length of a key of the store.
+	maxNameBytes = 200
+	// maxSlots bounds the slots of a target.
+	maxSlots = 1 << 16
+	// maxClockDifference bounds the difference between the clocks of two hosts.
+	maxClockDifference = 24 * time.Hour
+)
+
 // Share is the weight of a service in a route's new flows.
 type Share struct {
 	Service string
@@ -39,6 +51,22 @@
 // NoPriority is the priority of a route that names none: below those that do.
 const NoPriority = math.MaxUint8
 
+// Validate returns an error that names the first field with an invalid value.
+func (r *Route) Validate() error {
+	if r.Endpoint.Port == 0 {
+		return errors.Errorf("route address %s: the port must be above 0", r.Endpoint)
+	}
+	if len(r.Shares) == 0 {
+		return errors.New("route has no service")
+	}
+	for _, share := range r.Shares {
+		if err := validateService(share.Service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Service returns the service for a flow hash, or "" if all weights are 0.
 func (r *Route) Service(hash uint64) string {
 	if len(r.Shares) == 1 {
@@ -91,6 +119,53 @@
 	LapseLeft time.Duration
 }
 
+// Validate returns an error that names the first field with an invalid value.
+func (t *Target) Validate() error {
+	switch {
+	case t.ID == "" || len(t.ID) > maxNameBytes:
+		return errors.Errorf("id of %d bytes: must have 1 to %d", len(t.ID), maxNameBytes)
+	case t.Slots < 1 || t.Slots > maxSlots:
+		return errors.Errorf("slots %d: must be from 1 to %d", t.Slots, maxSlots)
+	case len(t.Zone) > maxNameBytes:
+		return errors.Errorf("zone of %d bytes: must have at most %d", len(t.Zone), maxNameBytes)
+	case !t.Address.Addr().Is4() || !isUnicast(t.Address.Addr()) || t.Address.Port() == 0:
+		return errors.Errorf("address %s: must be a unicast IPv4 address with a port above 0", t.Address)
+	}
+	return validateService(t.Service)
+}
+
+// DropFutureBorn removes a start time that lies further in the future than clocks differ
+// and returns an error that names it. The newest start on a host is used, so that such an
+// entry would hide the target that runs there.
+func (t *Target) DropFutureBorn(now time.Time) error {
+	if born, latest := t.Born, now.Add(maxClockDifference).UnixMilli(); born > latest {
+		t.Born = 0
+		return errors.Errorf("start %d ms: must not be later than %d ms", born, latest)
+	}
+	return nil
+}
+
+func validateService(name string) error {
+	if name == "" || len(name) > maxNameBytes {
+		return errors.Errorf("service name of %d bytes: must have 1 to %d", len(name), maxNameBytes)
+	}
+	return nil
+}
+
+// isUnicast reports whether an IPv4 address can be that of a host.
+func isUnicast(a netip.Addr) bool {
+	return !a.IsUnspecified() && !a.IsMulticast() && a != netip.AddrFrom4([4]byte{255, 255, 255, 255})
+}
+
+// Unusable describes a published entry, or a part of one, that was left out.
+type Unusable struct {
+	// Key is the key of the entry, with the name of the route if only that was left out.
+	Key string
+	Err error
+	// Configuration is set if a whole configuration could not be read and is not in force.
+	Configuration bool
+}
+
 // SameIncarnation reports whether both entries describe the same incarnation of a
 // target.
 func (t *Target) SameIncarnation(other *Target) bool {
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -135,6 +135,7 @@
 	b.out = transmitter{options.Logger, b.metrics}
 	b.peers = peers.New(b.clock.now(), peers.Self{Address: options.Link, Zone: options.Zone, Capacity: options.capacity()}, options.Seeds)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
+	options.Source.OnUnusable(b.recordUnusable)
 	var err error
 	if b.packets, err = listen(options.Packets); err != nil {
 		return nil, err
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -266,6 +266,7 @@
 	b.mu.Unlock()
 	switch {
 	case accepted:
+		b.metrics.RoutesUnusable.Set(0)
 		b.options.Logger.Log(telemetry.RoutesAccepted, "version", routes.Version, "previous", previous,
 			"routes", len(routes.Routes), "source", source)
 		b.announce(now)
--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -140,6 +140,20 @@
 	}
 }
 
+// recordUnusable logs and counts an entry of the store, or a part of one, that is left
+// out.
+func (b *Balancer) recordUnusable(u registry.Unusable) {
+	b.metrics.EntriesUnusable.Inc()
+	event := telemetry.EntryUnusable
+	if u.Configuration {
+		event = telemetry.RoutesUnusable
+		b.metrics.RoutesUnusable.Set(1)
+	}
+	if b.options.Logger.Allow(event) {
+		b.options.Logger.Log(event, "key", u.Key, "error", u.Err)
+	}
+}
+
 // followRoutes keeps the configuration current until ctx is done.
 func (b *Balancer) followRoutes(ctx context.Context) {
 	source := b.options.Source
@@ -148,7 +162,9 @@
 		if err != nil {
 			return 0, err
 		}
-		b.acceptRoutes(routes, "store")
+		if routes.Version != 0 {
+			b.acceptRoutes(routes, "store")
+		}
 		return revision, nil
 	}, func(ctx context.Context, after uint64) (uint64, bool, error) {
 		routes, revision, err := source.WatchRoutes(ctx, after, watchTimeout)
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -35,10 +35,14 @@
 
 // Source reads the configuration and the targets from the store.
 type Source interface {
-	// Routes returns the configuration and the revision at which it was read.
+	// OnUnusable sets the function that is called for each entry, or part of one, that is
+	// left out because it cannot be used. It is called before the other methods.
+	OnUnusable(report func(registry.Unusable))
+	// Routes returns the configuration and the revision at which it was read. The version
+	// of the configuration is 0 if there is none or it cannot be read.
 	Routes(ctx context.Context) (registry.Routes, uint64, error)
 	// WatchRoutes waits for a configuration published after a revision. The
-	// pointer is nil when none arrived within the timeout.
+	// pointer is nil when none that can be read arrived within the timeout.
 	WatchRoutes(ctx context.Context, after uint64, timeout time.Duration) (*registry.Routes, uint64, error)
 	// Targets returns the complete table.
 	Targets(ctx context.Context) (registry.Table, error)
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -124,6 +124,8 @@
 		Message: "another balancer reads the store; this one stops reading it", Fields: nil}
 	PullFailed = Event{Number: 227, Level: log.WarnLevel, Name: "pull_failed",
 		Message: "pull of routes or targets from a peer failed", Fields: []string{"peer", "error"}}
+	RoutesUnusable = Event{Number: 228, Level: log.ErrorLevel, Name: "routes_unusable",
+		Message: "published configuration cannot be read; the last one stays in force", Fields: []string{"key", "error"}}
 )
 
 // Events of balancers as peers: 310 to 319.
@@ -174,7 +176,7 @@
 		ProcessStarted, ProcessReady, StopBegun, Stopped, ClockJump, StateError, SettingsReloaded, SettingsRejected,
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
-		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed,
+		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed, RoutesUnusable,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -51,8 +51,9 @@
 type SegmentMetrics struct {
 	SegmentsIn, Forwarded, Answered, Returned, Refused     Counter
 	AnswersFailed, Resets, Malformed, SendErrors, Overruns Counter
-	StoreCalls, StoreErrors, PullErrors                    Counter
+	StoreCalls, StoreErrors, PullErrors, EntriesUnusable   Counter
 	Flows, Pending, Version, Targets, ViewAge              Gauge
+	RoutesUnusable                                         Gauge
 	AnswerWait, OpeningToAnswer, StoreCall, Search         *Histogram
 	ExpectedWait, WaitError                                *Histogram
 
@@ -119,6 +120,11 @@
 			func(m *SegmentMetrics) *Counter { return &m.StoreErrors }),
 		counterDesc("pull_errors", "calls", "balancer: failed pulls of routes or targets from a peer",
 			func(m *SegmentMetrics) *Counter { return &m.PullErrors }),
+		counterDesc("entries_unusable", "entries", "balancer: entries of the store, routes and fields left out because they cannot be used",
+			func(m *SegmentMetrics) *Counter { return &m.EntriesUnusable }),
+		gaugeDesc("routes_unusable", "boolean",
+			"balancer: 1 if a published configuration could not be read and no later one is in force; set by the balancer that reads the store",
+			func(m *SegmentMetrics) *Gauge { return &m.RoutesUnusable }),
 		gaugeDesc("flows", "flows", "balancer: flows with a known target",
 			func(m *SegmentMetrics) *Gauge { return &m.Flows }),
 		gaugeDesc("pending", "requests", "agent: requests running or queued at the target",
