peers: digests list a few addresses, their rate does not grow with the fleet

The budget of a node is 26 KB/s.

Change: 16 digests in 300 ms to the own zone and 16 to the others; in larger groups a peer gets one less often and is given four of its own intervals. Digests list 4 addresses in turn; only the first one to a new peer introduces all. A claim to read the store is believed for 1.2 s, so that a lost reader of another zone is replaced as before.

Ruled out: one window per 300 ms as the comment said (a peer would get a digest each 2.2 s, and all count as lost after 1.2 s).

TestDigestsAreBounded is replaced by two tests: it bounded the peers of one call, not the rate, and so held at 200 KB/s.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -5,6 +5,7 @@
 package peers
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -15,19 +16,20 @@
 const (
 	// DigestInterval is the time between two digests to a peer.
 	DigestInterval = 300 * time.Millisecond
-	// peerTimeout is the time without a digest after which a peer counts as
-	// lost: four lost digests.
+	// peerTimeout is the time without a digest after which a peer that gets one each
+	// DigestInterval counts as lost: four lost digests.
 	peerTimeout = 1200 * time.Millisecond
 	// silentTTL is how long the address of a silent peer is kept and probed:
 	// longer than the restart of a host.
 	silentTTL = time.Minute
 	// silentInterval is the time between digests to a silent peer.
 	silentInterval = time.Second
-	// fullMeshPeers is the number of peers up to which every digest goes to all
-	// of them.
-	fullMeshPeers = 32
-	// fanout is the number of peers that get a digest in a larger fleet.
-	fanout = 8
+	// groupFanout is the number of digests in a DigestInterval to the balancers of the own
+	// zone, and to those of all others. In a larger group a peer gets a digest less often.
+	groupFanout = 16
+	// timeoutIntervals is the number of intervals without a digest after which a peer
+	// counts as lost.
+	timeoutIntervals = peerTimeout / DigestInterval
 	// maxContactAge is the age of the store's last response to any balancer of
 	// the fleet above which another balancer starts to read. A reader gets a
 	// response every half second.
@@ -39,8 +41,9 @@
 	// maxFreshAge is the age of the store's last response up to which the state
 	// counts as confirmed.
 	maxFreshAge = 1500 * time.Millisecond
-	// maxDigestPeers bounds the addresses in a digest.
-	maxDigestPeers = 64
+	// maxDigestPeers bounds the addresses in a digest, maxIntroducedPeers those in the
+	// first digest to a peer.
+	maxDigestPeers, maxIntroducedPeers = 4, 64
 )
 
 // Digest is the state that a balancer sends to its peers.
@@ -102,7 +105,11 @@
 	failing     bool
 	reading     bool
 	leaving     bool
-	nextPeer    int
+	// remote and local are the numbers of peers in other zones and in the own one that
+	// have sent a digest.
+	remote, local int
+	// nextListed is the position of the next address that a digest lists.
+	nextListed int
 }
 
 // New returns the view of a balancer that has received no digests yet. It
@@ -145,7 +152,7 @@
 	if p == nil {
 		return false
 	}
-	fresh := !p.seen || p.digest.Incarnation != d.Incarnation || now-p.lastSeen > peerTimeout
+	fresh := !p.seen || p.digest.Incarnation != d.Incarnation || now-p.lastSeen > timeoutIntervals*s.interval(p)
 	p.digest, p.lastSeen, p.seen, p.reportedLost = d, now, true, false
 	for _, address := range d.Peers {
 		s.add(now, address)
@@ -194,13 +201,31 @@
 // Fresh reports whether the store has confirmed the state within maxFreshAge.
 func (s *Set) Fresh(now time.Duration) bool { return s.ContactAge(now) <= maxFreshAge }
 
-func (p *peer) live(now time.Duration) bool { return p.seen && now-p.lastSeen <= peerTimeout }
+// interval returns the time between two digests to a peer, which grows with the number of
+// peers in its group, so that the rate of digests does not.
+func (s *Set) interval(p *peer) time.Duration {
+	group := s.remote
+	if p.digest.Zone == s.self.Zone {
+		group = s.local
+	}
+	return DigestInterval * time.Duration(max(1, (group+groupFanout-1)/groupFanout))
+}
+
+func (s *Set) live(now time.Duration, p *peer) bool {
+	return p.seen && now-p.lastSeen <= timeoutIntervals*s.interval(p)
+}
+
+// reads reports whether a peer reads the store with success. A claim is not believed for
+// longer than peerTimeout, so that a lost reader is replaced in time.
+func (p *peer) reads(now time.Duration) bool {
+	return p.digest.Reading && !p.digest.Leaving && now-p.lastSeen <= peerTimeout
+}
 
 // Live returns the peers from which digests arrive, sorted by address.
 func (s *Set) Live(now time.Duration) []netip.AddrPort {
 	var out []netip.AddrPort
 	for address, p := range s.peers {
-		if p.live(now) {
+		if s.live(now, p) {
 			out = append(out, address)
 		}
 	}
@@ -208,34 +233,49 @@
 	return out
 }
 
-// Digest returns the state that this balancer sends to its peers.
+// Digest returns the state that this balancer sends to its peers. It lists some of them
+// in turn.
 func (s *Set) Digest(now time.Duration, incarnation, routes, targets uint64) Digest {
-	live := s.Live(now)
-	return Digest{
+	return s.digest(now, incarnation, routes, targets, maxDigestPeers)
+}
+
+// Introduction returns the state that this balancer sends to a new peer, which learns the
+// other ones from it.
+func (s *Set) Introduction(now time.Duration, incarnation, routes, targets uint64) Digest {
+	return s.digest(now, incarnation, routes, targets, maxIntroducedPeers)
+}
+
+func (s *Set) digest(now time.Duration, incarnation, routes, targets uint64, maxListed int) Digest {
+	d := Digest{
 		Incarnation: incarnation, Routes: routes, Targets: targets,
 		ContactAge: s.ContactAge(now), Reading: s.reading, Failing: s.failing, Leaving: s.leaving,
 		Serving: routes != 0 && targets != 0, Zone: s.self.Zone, Capacity: s.self.Capacity,
-		Peers: live[:min(len(live), maxDigestPeers)],
 	}
+	live := s.Live(now)
+	for range min(len(live), maxListed) {
+		s.nextListed = (s.nextListed + 1) % len(live)
+		d.Peers = append(d.Peers, live[s.nextListed])
+	}
+	return d
 }
 
 // Due returns the peers that get a digest now. An urgent digest announces
 // changed state and does not wait for the interval.
 func (s *Set) Due(now time.Duration, urgent bool) []netip.AddrPort {
+	s.countGroups()
 	var due []netip.AddrPort
-	live := s.Live(now)
-	for _, address := range s.digestPeers(live) {
-		p := s.peers[address]
-		if urgent || now-p.lastSent >= DigestInterval {
-			p.lastSent = now
-			due = append(due, address)
-		}
+	if urgent {
+		due = s.announced(now)
 	}
 	for address, p := range s.peers {
-		if p.live(now) || now-p.lastSent < silentInterval {
+		interval := silentInterval
+		if s.live(now, p) {
+			interval = s.interval(p)
+		}
+		if now-p.lastSent < interval {
 			continue
 		}
-		if !p.seed && now-max(p.lastSeen, p.added) > silentTTL {
+		if !s.live(now, p) && !p.seed && now-max(p.lastSeen, p.added) > silentTTL {
 			delete(s.peers, address)
 			continue
 		}
@@ -245,19 +285,41 @@
 	return due
 }
 
-// digestPeers returns the live peers that get a digest: all of them in a small
-// fleet, otherwise the next fanout ones in turn. An urgent digest goes to no more: each
-// peer that it is news to sends an urgent digest of its own.
-func (s *Set) digestPeers(live []netip.AddrPort) []netip.AddrPort {
-	if len(live) <= fullMeshPeers {
-		return live
+// countGroups counts the peers that have sent a digest.
+func (s *Set) countGroups() {
+	s.local, s.remote = 0, 0
+	for _, p := range s.peers {
+		switch {
+		case !p.seen:
+		case p.digest.Zone == s.self.Zone:
+			s.local++
+		default:
+			s.remote++
+		}
 	}
-	window := make([]netip.AddrPort, 0, fanout)
-	for range fanout {
-		s.nextPeer = (s.nextPeer + 1) % len(live)
-		window = append(window, live[s.nextPeer])
+}
+
+// announced returns the peers that get an urgent digest: groupFanout of the own zone and of
+// the others, those that have waited longest for a digest. They are no more than that,
+// because each peer that it is news to sends an urgent digest of its own.
+func (s *Set) announced(now time.Duration) []netip.AddrPort {
+	var local, remote []netip.AddrPort
+	for _, address := range s.Live(now) {
+		if s.peers[address].digest.Zone == s.self.Zone {
+			local = append(local, address)
+		} else {
+			remote = append(remote, address)
+		}
+	}
+	var out []netip.AddrPort
+	for _, group := range [][]netip.AddrPort{local, remote} {
+		slices.SortStableFunc(group, func(a, b netip.AddrPort) int { return cmp.Compare(s.peers[a].lastSent, s.peers[b].lastSent) })
+		out = append(out, group[:min(len(group), groupFanout)]...)
+	}
+	for _, address := range out {
+		s.peers[address].lastSent = now
 	}
-	return window
+	return out
 }
 
 // Newer returns a live peer that has a newer version of the configuration or
@@ -270,8 +332,8 @@
 		if p.digest.Routes <= routes && p.digest.Targets <= targets {
 			continue
 		}
-		if !found || p.digest.Reading && !reading {
-			best, found, reading = address, true, p.digest.Reading
+		if !found || p.reads(now) && !reading {
+			best, found, reading = address, true, p.reads(now)
 		}
 	}
 	return best, found
@@ -298,7 +360,7 @@
 			rank++
 		}
 		// Of several readers, the one that comes first in the order stays.
-		if s.reading && before && p.digest.Reading && !p.digest.Leaving {
+		if s.reading && before && p.reads(now) {
 			return false
 		}
 	}
@@ -320,7 +382,7 @@
 // HasReader reports whether a live peer reads the store with success.
 func (s *Set) HasReader(now time.Duration) bool {
 	for _, p := range s.peers {
-		if p.live(now) && p.digest.Reading && !p.digest.Leaving {
+		if p.seen && p.reads(now) {
 			return true
 		}
 	}
@@ -338,7 +400,7 @@
 func (s *Set) Lost(now time.Duration) []netip.AddrPort {
 	var lost []netip.AddrPort
 	for address, p := range s.peers {
-		if p.seen && !p.reportedLost && !p.live(now) {
+		if p.seen && !p.reportedLost && !s.live(now, p) {
 			p.reportedLost = true
 			lost = append(lost, address)
 		}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -18,17 +18,22 @@
 	down      map[netip.AddrPort]bool
 	storeDown map[netip.AddrPort]bool
 	reading   map[netip.AddrPort]bool
+	// digests and addresses count the digests sent and the addresses in them.
+	digests, addresses int
 }
 
 func address(i int) netip.AddrPort {
 	return netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1))
 }
 
+// zone spreads the balancers of a fleet over six availability zones.
+func zone(i int) string { return string(rune('a' + i%6)) }
+
 func newFleet(t *testing.T, count int) *fleet {
 	f := &fleet{c: qt.New(t), sets: make(map[netip.AddrPort]*Set), down: make(map[netip.AddrPort]bool),
 		storeDown: make(map[netip.AddrPort]bool), reading: make(map[netip.AddrPort]bool)}
 	for i := range count {
-		f.sets[address(i)] = New(0, Self{Address: address(i)}, []netip.AddrPort{address(0), address(1)})
+		f.sets[address(i)] = New(0, Self{Address: address(i), Zone: zone(i)}, []netip.AddrPort{address(0), address(1)})
 	}
 	return f
 }
@@ -51,8 +56,11 @@
 				s.StopReading()
 			}
 			for _, to := range s.Due(f.now, false) {
-				if other := f.sets[to]; other != nil && !f.down[to] {
-					other.Receive(f.now, self, s.Digest(f.now, 1, 0, 0))
+				d := s.Digest(f.now, 1, 0, 0)
+				f.digests++
+				f.addresses += len(d.Peers)
+				if other := f.sets[to]; other != nil && !f.down[to] && other.Receive(f.now, self, d) {
+					s.Receive(f.now, to, other.Introduction(f.now, 1, 0, 0))
 				}
 			}
 		}
@@ -151,15 +159,71 @@
 	}
 }
 
-// Guards against control traffic that grows with the square of the fleet.
-func TestDigestsAreBounded(t *testing.T) {
+// Guards against digests whose bytes grow with the fleet: at 59 balancers each sent 160
+// digests a second with the addresses of all others (muzedukkan-large: processor time).
+// The bound is the control budget of a node.
+func TestDigestBytesAreBounded(t *testing.T) {
+	const (
+		bytesPerSecond = 26_000
+		digestBytes    = 90
+		addressBytes   = 20
+	)
+	for _, count := range []int{4, 24, 59, 120} {
+		f := newFleet(t, count)
+		f.run(3 * time.Second)
+		f.digests, f.addresses = 0, 0
+		const window = 2
+		f.run(window * time.Second)
+		sent := (f.digests*digestBytes + f.addresses*addressBytes) / window / count
+		f.c.Check(sent < bytesPerSecond, qt.IsTrue, qt.Commentf("%d balancers: %d B/s each", count, sent))
+	}
+}
+
+// Guards against an urgent digest to the whole fleet, and against one to no other zone.
+func TestUrgentDigestsAreBounded(t *testing.T) {
 	c := qt.New(t)
-	s := New(0, Self{Address: address(0)}, nil)
+	s := New(0, Self{Address: address(0), Zone: zone(0)}, nil)
 	for i := 1; i <= 200; i++ {
-		s.Receive(0, address(i), Digest{})
+		s.Receive(0, address(i), Digest{Zone: zone(i)})
+	}
+	s.countGroups()
+	for _, peer := range s.peers {
+		peer.lastSent = 0
+	}
+	c.Check(s.Due(1, true), qt.HasLen, 2*groupFanout)
+	c.Check(len(s.Introduction(1, 1, 0, 0).Peers) <= maxIntroducedPeers, qt.IsTrue)
+}
+
+// Guards against a large fleet in which live balancers count as lost, a lost one is not
+// noticed, or the store is read by several balancers or by none.
+func TestLargeFleet(t *testing.T) {
+	f := newFleet(t, 59)
+	f.run(5 * time.Second)
+	for range 40 {
+		f.run(100 * time.Millisecond)
+		f.c.Assert(f.readers(), qt.Equals, 1)
+		for _, s := range f.sets {
+			f.c.Assert(s.Live(f.now), qt.HasLen, 58)
+			f.c.Assert(s.Lost(f.now), qt.HasLen, 0)
+			f.c.Assert(s.Fresh(f.now), qt.IsTrue)
+		}
+	}
+	lost := f.reader()
+	f.down[lost] = true
+	f.run(1500 * time.Millisecond)
+	for self, s := range f.sets {
+		sameZone := s.self.Zone == f.sets[lost].self.Zone
+		f.c.Check(f.down[self] || !sameZone || slices.Contains(s.Lost(f.now), lost), qt.IsTrue)
+	}
+	f.run(time.Second)
+	f.c.Check(f.readers(), qt.Equals, 1)
+	for self, s := range f.sets {
+		f.c.Check(f.down[self] || s.Fresh(f.now), qt.IsTrue)
+	}
+	f.run(3 * time.Second)
+	for self, s := range f.sets {
+		f.c.Check(f.down[self] || len(s.Live(f.now)) == 57, qt.IsTrue)
 	}
-	c.Check(len(s.Due(DigestInterval, true)), qt.Equals, fanout)
-	c.Check(len(s.Digest(DigestInterval, 1, 0, 0).Peers) <= maxDigestPeers, qt.IsTrue)
 }
 
 // Guards against pulls from a peer that has nothing newer or failed to answer.
--- a/internal/peers/rotation.go
+++ b/internal/peers/rotation.go
@@ -13,11 +13,11 @@
 	capacity uint32
 }
 
-// rotationTimeout is the time without a digest after which a balancer no longer
-// counts for the rotation. It is longer than peerTimeout: a full link loses
+// rotationIntervals is the number of intervals without a digest after which a balancer
+// no longer counts for the rotation. It exceeds timeoutIntervals: a full link loses
 // several digests in a row, and a small balancer that joins the rotation adds
 // to the congestion.
-const rotationTimeout = 2 * peerTimeout
+const rotationIntervals = 2 * timeoutIntervals
 
 // divertFactor is the minimum ratio of capacities at which openings are
 // diverted from a balancer to a larger one.
@@ -59,7 +59,7 @@
 			continue
 		}
 		total++
-		if now-p.lastSeen < rotationTimeout && p.digest.Serving && !p.digest.Leaving {
+		if now-p.lastSeen < rotationIntervals*s.interval(p) && p.digest.Serving && !p.digest.Leaving {
 			usable = append(usable, rotationCandidate{address, p.digest.Capacity})
 		}
 	}
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -131,7 +131,7 @@
 	b.mu.Unlock()
 	if fresh {
 		b.options.Logger.Log(telemetry.PeerHeard, "peer", from, "routes", d.Routes, "targets", d.Targets)
-		b.sendDigests(now, []netip.AddrPort{from})
+		b.introduce(now, from)
 	}
 	b.pull(now)
 }
@@ -235,6 +235,22 @@
 	b.mu.Lock()
 	d := b.peers.Digest(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Revision)
 	b.mu.Unlock()
+	message := digestMessage(d)
+	for _, address := range to {
+		b.out.message(b.link, message, address)
+	}
+}
+
+// introduce sends a new peer the state of this balancer and the addresses of its peers.
+func (b *Balancer) introduce(now time.Duration, to netip.AddrPort) {
+	b.mu.Lock()
+	d := b.peers.Introduction(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Revision)
+	b.mu.Unlock()
+	b.out.message(b.link, digestMessage(d), to)
+}
+
+// digestMessage encodes a digest.
+func digestMessage(d peers.Digest) *schema.LinkMessage {
 	m := &schema.LinkDigest{
 		Incarnation: d.Incarnation, RoutesVersion: d.Routes, TargetsRevision: d.Targets,
 		Reading: d.Reading, Failing: d.Failing, Leaving: d.Leaving,
@@ -247,10 +263,7 @@
 	for _, address := range d.Peers {
 		m.Peers = append(m.Peers, address.String())
 	}
-	message := &schema.LinkMessage{Body: &schema.LinkMessage_Digest{Digest: m}}
-	for _, address := range to {
-		b.out.message(b.link, message, address)
-	}
+	return &schema.LinkMessage{Body: &schema.LinkMessage_Digest{Digest: m}}
 }
 
 // acceptRoutes applies a configuration if it is newer and announces it to the
