reports: agents report by use, pings ask for the interval

Change: a ping asks for the longest time between two reports: 200 ms while the balancer got a segment in the last 5 s, else 2 s. The bound counts active balancers and holds up to 48 of them. Each agent is pinged every 0.9 s (1.8 s by an idle balancer), and in each round while it owes a report, so that an agent that restarts is found as before. A balancer that gets segments again pings all agents at once, and waits for the reports that it asked for before it takes an agent for silent. Reports and digests to several balancers are encoded once.

--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -12,21 +12,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/peridotstall/peridotstall/internal/occupancy"
+	"github.com/peridotstall/peridotstall/internal/reports"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
 )
 
 const (
-	// reportInterval is the time between reports while the load does not
-	// change: less than a quarter of steering.ReportTimeout, after which a
-	// balancer treats the target as silent.
-	reportInterval = 200 * time.Millisecond
-	// reportsPerSecond bounds the reports of an agent to all balancers
-	// together, so that its control traffic does not grow with the fleet.
-	reportsPerSecond = 160
-	// balancerTTL is how long a balancer gets reports after its last ping.
-	balancerTTL = 3 * time.Second
 	// maxBalancers is the number of balancers that the 8-bit sender field of a
 	// mark can name.
 	maxBalancers = 256
@@ -65,7 +57,6 @@
 // segment or a ping.
 type balancerEntry struct {
 	packets, link netip.AddrPort
-	lastPing      time.Duration
 	lastUsed      time.Duration
 }
 
@@ -81,13 +72,15 @@
 	out      transmitter
 	backend  atomic.Pointer[netip.AddrPort]
 
-	mu         sync.Mutex
-	tracker    *occupancy.Tracker
-	coverage   occupancy.Coverage
-	balancers  []balancerEntry
-	byHost     map[netip.Addr]uint8
-	lastReport time.Duration
-	lastLoad   *schema.LinkLoad
+	mu        sync.Mutex
+	tracker   *occupancy.Tracker
+	coverage  occupancy.Coverage
+	balancers []balancerEntry
+	byHost    map[netip.Addr]uint8
+	reports   *reports.Schedule
+	// leaving is set while the agent stops, urgent if the next report goes to all balancers
+	// at once.
+	leaving, urgent bool
 	// loggedUnresponsive and loggedFailing are the states of the target that
 	// were logged last.
 	loggedUnresponsive, loggedFailing bool
@@ -100,7 +93,7 @@
 func StartAgent(options AgentOptions) (*Agent, error) {
 	a := &Agent{
 		options: options, clock: newClock(), tracker: occupancy.New(options.Service),
-		byHost: make(map[netip.Addr]uint8), tasks: newTasks(),
+		byHost: make(map[netip.Addr]uint8), reports: reports.NewSchedule(), tasks: newTasks(),
 		metrics: telemetry.NewSegmentMetrics("agent/"+options.Host, occupancy.RefusalNames()...),
 	}
 	a.coverage = occupancy.NewCoverage(a.clock.now(), time.Now().UnixMilli())
@@ -225,6 +218,7 @@
 			delete(a.byHost, h)
 		}
 	}
+	a.reports.Forget(uint8(oldest))
 	a.balancers[oldest] = balancerEntry{lastUsed: now}
 	a.byHost[host] = uint8(oldest)
 	return uint8(oldest)
@@ -378,10 +372,10 @@
 	index, known := a.byHost[from.Addr()]
 	if !known {
 		index = a.assignIndex(now, from.Addr())
-		a.lastReport = 0
 	}
 	entry := &a.balancers[index]
-	entry.link, entry.lastPing, entry.lastUsed = from, now, now
+	entry.link, entry.lastUsed = from, now
+	a.reports.Ping(now, index, time.Duration(ping.ReportIntervalMs)*time.Millisecond)
 	var flows []segment.Flow
 	if ping.GetTarget().GetFlowsWanted() {
 		flows = a.tracker.FlowsOf(index, maxRestoredFlows)
@@ -434,8 +428,8 @@
 func (a *Agent) Stop(ctx context.Context) int {
 	a.mu.Lock()
 	a.tracker.RefuseOpenings()
-	a.lastLoad = &schema.LinkLoad{Leaving: true}
-	a.lastReport = 0
+	a.leaving = true
+	a.urgent = true
 	a.mu.Unlock()
 	start := a.clock.now()
 	waitWhile(ctx, a.clock, func(now time.Duration) bool { return now-start < stopDelay || a.pending() > 0 })
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -12,19 +12,23 @@
 
 	"github.com/peridotstall/peridotstall/internal/peers"
 	"github.com/peridotstall/peridotstall/internal/registry"
+	"github.com/peridotstall/peridotstall/internal/reports"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/steering"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
 )
 
 const (
-	// pingInterval is the time between two pings to an agent: a third of
-	// steering.ReportTimeout, after which its target counts as silent.
+	// pingInterval is the time between two rounds of pings: a third of
+	// steering.ReportTimeout, after which a target counts as silent.
 	pingInterval = 300 * time.Millisecond
-	// pingsPerDescription is the number of pings between two that describe the
-	// target to its agent: one every 3 s, because the description rarely
-	// changes.
-	pingsPerDescription = 10
+	// roundsPerPing and roundsPerIdlePing are the numbers of rounds in which each agent
+	// gets a ping from a balancer that gets callers' segments and from an idle one. An
+	// agent that owes a report gets one in each round.
+	roundsPerPing, roundsPerIdlePing = 3, 6
+	// roundsPerDescription is the number of rounds between two in which all pings describe
+	// the target to its agent: 3 s, because the description rarely changes.
+	roundsPerDescription = 10
 	// unreportedPingTimeout is the time after a target appears for which its
 	// agent is pinged at every tick until it reports.
 	unreportedPingTimeout = 2 * time.Second
@@ -114,7 +118,9 @@
 	registry *registry.Registry
 	lastPing time.Duration
 	// pings counts the rounds of pings. It is used by the control task only.
-	pings          int
+	pings int
+	// wanted is the longest time between two reports that pings request, in nanoseconds.
+	wanted         atomic.Int64
 	pulling        bool
 	stopReading    context.CancelFunc
 	storeReachable bool
@@ -133,6 +139,7 @@
 		metrics: telemetry.NewSegmentMetrics("balancer/"+options.Host, steering.ReasonNames()...),
 	}
 	b.out = transmitter{options.Logger, b.metrics}
+	b.wanted.Store(int64(reports.ActiveInterval))
 	b.peers = peers.New(b.clock.now(), peers.Self{Address: options.Link, Zone: options.Zone, Capacity: options.capacity()}, options.Seeds)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	options.Source.OnUnusable(b.recordUnusable)
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/peers"
 	"github.com/peridotstall/peridotstall/internal/registry"
+	"github.com/peridotstall/peridotstall/internal/reports"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/steering"
@@ -146,7 +147,7 @@
 	b.confirmed.Store(b.peers.Fresh(now) && !behind)
 	b.divert.Store(b.peers.ShouldDivert(now))
 	due := b.peers.Due(now, false)
-	pings := now-b.lastPing >= pingInterval
+	pings := now-b.lastPing >= pingInterval || b.becameActive(now)
 	if pings {
 		b.lastPing = now
 	}
@@ -163,7 +164,7 @@
 	}
 	b.sendDigests(now, due)
 	if pings {
-		b.sendPings()
+		b.sendPings(now)
 	} else {
 		b.pingUnreported(now)
 	}
@@ -178,20 +179,42 @@
 	b.metrics.Targets.Set(int64(len(table.Targets)))
 }
 
-// sendPings requests load reports from all agents. A ping also describes the
-// target if its agent has not sent a flow restore yet, and in
-// every pingsPerDescription-th round.
-func (b *Balancer) sendPings() {
+// sendPings pings the agents that are due in this round. A balancer that has become active
+// pings all of them. A ping also describes the target if its agent has not sent a flow
+// restore yet, and in every roundsPerDescription-th round.
+func (b *Balancer) sendPings(now time.Duration) {
 	view := b.view.Load()
 	if view == nil {
 		return
 	}
 	b.pings++
+	describe := b.pings%roundsPerDescription == 0
+	wanted := reports.WantedInterval(now, time.Duration(b.lastPacket.Load()))
+	all := describe || wanted < time.Duration(b.wanted.Swap(int64(wanted)))
+	rounds := roundsPerPing
+	if wanted == reports.IdleInterval {
+		rounds = roundsPerIdlePing
+	}
 	for _, t := range view.Targets() {
-		b.sendPing(view, t, !t.FlowsRestored() || b.pings%pingsPerDescription == 0)
+		missed := t.ReportAge(now) > 2*wanted
+		if all || missed || !t.FlowsRestored() || (b.pings+hostNumber(t))%rounds == 0 {
+			b.sendPing(now, view, t, describe || !t.FlowsRestored())
+		}
 	}
 }
 
+// hostNumber returns a number that spreads the targets over the rounds of pings.
+func hostNumber(t *steering.Target) int {
+	ip := t.Agent.Addr().As4()
+	return int(ip[3])
+}
+
+// becameActive reports whether this balancer gets segments while its agents send reports
+// at the interval of an idle one.
+func (b *Balancer) becameActive(now time.Duration) bool {
+	return reports.WantedInterval(now, time.Duration(b.lastPacket.Load())) < time.Duration(b.wanted.Load())
+}
+
 // pingUnreported pings the agents that have not reported yet, so that their
 // targets get new flows as soon as the agents have started.
 func (b *Balancer) pingUnreported(now time.Duration) {
@@ -201,15 +224,17 @@
 	}
 	for _, t := range view.Targets() {
 		if !t.Reported() && t.ReportAge(now) < unreportedPingTimeout {
-			b.sendPing(view, t, true)
+			b.sendPing(now, view, t, true)
 		}
 	}
 }
 
 // sendPing requests a report from the agent of a target. Describe adds the
 // published data of the target.
-func (b *Balancer) sendPing(view *steering.View, t *steering.Target, describe bool) {
-	ping := &schema.LinkPing{Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag)}
+func (b *Balancer) sendPing(now time.Duration, view *steering.View, t *steering.Target, describe bool) {
+	wanted := time.Duration(b.wanted.Load())
+	t.AwaitReports(now, wanted)
+	ping := &schema.LinkPing{Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag), ReportIntervalMs: uint32(wanted / time.Millisecond)}
 	if describe {
 		ping.Target = &schema.LinkTarget{
 			PatienceMs:  uint64(view.AnswerTimeout(t.Info.Service) / time.Millisecond),
@@ -235,10 +260,7 @@
 	b.mu.Lock()
 	d := b.peers.Digest(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Revision)
 	b.mu.Unlock()
-	message := digestMessage(d)
-	for _, address := range to {
-		b.out.message(b.link, message, address)
-	}
+	b.out.messages(b.link, digestMessage(d), to)
 }
 
 // introduce sends a new peer the state of this balancer and the addresses of its peers.
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -21,22 +21,18 @@
 		Pending:          uint32(max(a.tracker.Pending(), 0)),
 		MeanPendingMilli: uint32(a.tracker.Mean(now) * 1000),
 		Unresponsive:     a.tracker.Unresponsive(now),
-		Leaving:          a.lastLoad.GetLeaving(),
+		Leaving:          a.leaving,
 		Complete:         a.coverage.Complete(now),
 		FailingMilli:     uint32(a.tracker.Failing(now) * 1000),
 		ServiceMicros:    uint32(a.tracker.ServiceTime().Microseconds()),
 		ExcludedShares:   excludedShares(a.tracker.ExcludedRanks()),
 	}
+	changed := load.Unresponsive != a.loggedUnresponsive
 	var to []netip.AddrPort
-	if a.reportDue(now, load) {
-		a.lastReport, a.lastLoad = now, load
-		for _, entry := range a.balancers {
-			if entry.link.IsValid() && now-entry.lastPing < balancerTTL {
-				to = append(to, entry.link)
-			}
-		}
+	for _, index := range a.reports.Due(now, load.Pending, a.urgent || changed) {
+		to = append(to, a.balancers[index].link)
 	}
-	changed := load.Unresponsive != a.loggedUnresponsive
+	a.urgent = false
 	a.loggedUnresponsive = load.Unresponsive
 	share := a.tracker.Failing(now)
 	startedFailing, stoppedFailing := !a.loggedFailing && share > failingAbove, a.loggedFailing && share < failingBelow
@@ -49,10 +45,7 @@
 	if startedFailing || stoppedFailing {
 		a.options.Logger.Log(telemetry.TargetFailing, "failing", startedFailing, "share", math.Round(share*100)/100, "pending", load.Pending)
 	}
-	message := &schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: load}}
-	for _, address := range to {
-		a.out.message(a.link, message, address)
-	}
+	a.out.messages(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: load}}, to)
 }
 
 // excludedShares encodes the excluded ranks of a load report: one byte for each
@@ -72,14 +65,3 @@
 	}
 	return ranks
 }
-
-// reportDue reports whether a load report has to be sent now. The caller must
-// hold a.mu.
-func (a *Agent) reportDue(now time.Duration, load *schema.LinkLoad) bool {
-	age := now - a.lastReport
-	if a.lastReport == 0 || load.Unresponsive != a.lastLoad.GetUnresponsive() {
-		return true
-	}
-	spacing := time.Duration(len(a.balancers)) * time.Second / reportsPerSecond
-	return age >= reportInterval || load.Pending != a.lastLoad.GetPending() && age >= spacing
-}
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -187,12 +187,22 @@
 }
 
 func (t transmitter) message(socket *net.UDPConn, message *schema.LinkMessage, to netip.AddrPort) {
+	t.messages(socket, message, []netip.AddrPort{to})
+}
+
+// messages sends a message to several addresses.
+func (t transmitter) messages(socket *net.UDPConn, message *schema.LinkMessage, to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
 	b, err := proto.Marshal(message)
 	if err != nil {
-		t.failed(to, errors.Wrap(err, "encode control message"))
+		t.failed(to[0], errors.Wrap(err, "encode control message"))
 		return
 	}
-	t.datagram(socket, b, to)
+	for _, address := range to {
+		t.datagram(socket, b, address)
+	}
 }
 
 func (t transmitter) failed(to netip.AddrPort, err error) {
--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -412,3 +412,19 @@
 		}
 	}
 }
+
+// Guards against targets that count as silent because their agents report at the interval
+// of an idle balancer, also in the moment in which it becomes active.
+func TestSilenceFollowsTheInterval(t *testing.T) {
+	f := newFixture(t, 1)
+	target := f.targetOf(0)
+	target.AwaitReports(f.now, 2*time.Second)
+	f.reportIdle()
+	f.now += 3 * time.Second
+	f.c.Check(target.Silent(f.now), qt.IsFalse)
+	target.AwaitReports(f.now, 200*time.Millisecond)
+	f.now += ReportTimeout
+	f.c.Check(target.Silent(f.now), qt.IsFalse)
+	f.now += time.Millisecond
+	f.c.Check(target.Silent(f.now), qt.IsTrue)
+}
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -24,9 +24,13 @@
 // extends it.
 const minIdleLimit = 15 * time.Second
 
-// ReportTimeout is the time without a report from an agent after which its target gets
-// no new flows: three lost reports at the ping interval.
-const ReportTimeout = 900 * time.Millisecond
+// ReportTimeout is the shortest time without a report from an agent after which its target
+// gets no new flows; lostReports is the number of reports of a longer interval that it
+// stands for.
+const (
+	ReportTimeout = 900 * time.Millisecond
+	lostReports   = 3
+)
 
 // answerTimeoutFactor is the number of latency objectives after which a request without
 // an answer counts as failed: an answer that late is of little use, and a working
@@ -44,8 +48,9 @@
 	// excludedRanks holds the bits of the lowest excluded rank of callers for each
 	// priority.
 	excludedRanks [segment.MaxPriority + 1]atomic.Uint64
-	// lastReport is the time of the last report.
-	lastReport atomic.Int64
+	// lastReport is the time of the last report, reportTimeout the time after it, but at
+	// least after awaitedSince, from which the target counts as silent.
+	lastReport, reportTimeout, awaitedSince atomic.Int64
 	// complete is set while the agent has seen every flow of its target.
 	complete atomic.Bool
 	// unresponsiveSince is the time at which the target stopped responding.
@@ -117,9 +122,19 @@
 	t.load.reportCount.Add(1)
 }
 
-// Silent reports whether the last report is older than ReportTimeout.
+// AwaitReports sets the interval of the reports that the agent is asked for from now on.
+func (t *Target) AwaitReports(now, interval time.Duration) {
+	timeout := int64(max(ReportTimeout, lostReports*interval))
+	if t.load.reportTimeout.Swap(timeout) > timeout {
+		t.load.awaitedSince.Store(int64(now))
+	}
+}
+
+// Silent reports whether reports are overdue: the last one is older than ReportTimeout, or
+// than lostReports of the intervals that the agent is asked for.
 func (t *Target) Silent(now time.Duration) bool {
-	return now-time.Duration(t.load.lastReport.Load()) > ReportTimeout
+	since := max(t.load.lastReport.Load(), t.load.awaitedSince.Load())
+	return int64(now)-since > max(int64(ReportTimeout), t.load.reportTimeout.Load())
 }
 
 // Reported reports whether the target's agent has sent a report.
