--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -1,5 +1,5 @@
 // Package reports decides when an agent reports the load of its target to which balancer,
-// and how often a balancer wants to hear of it. It does no I/O and is not safe for
+// and when a balancer pings which agent. It does no I/O and is not safe for
 // concurrent use; times are monotonic times since the start of the process.
 package reports
 
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -19,16 +19,6 @@
 )
 
 const (
-	// pingInterval is the time between two rounds of pings: a third of
-	// steering.ReportTimeout, after which a target counts as silent.
-	pingInterval = 300 * time.Millisecond
-	// roundsPerPing and roundsPerIdlePing are the numbers of rounds in which each agent
-	// gets a ping from a balancer that gets callers' segments and from an idle one. An
-	// agent that owes a report gets one in each round.
-	roundsPerPing, roundsPerIdlePing = 3, 6
-	// roundsPerDescription is the number of rounds between two in which all pings describe
-	// the target to its agent: 3 s, because the description rarely changes.
-	roundsPerDescription = 10
 	// unreportedPingTimeout is the time after a target appears for which its
 	// agent is pinged at every tick until it reports.
 	unreportedPingTimeout = 2 * time.Second
@@ -113,14 +103,10 @@
 	// lastPacket is the time of the last segment from a caller.
 	lastPacket atomic.Int64
 
-	mu       sync.Mutex
-	peers    *peers.Set
-	registry *registry.Registry
-	lastPing time.Duration
-	// pings counts the rounds of pings. It is used by the control task only.
-	pings int
-	// wanted is the longest time between two reports that pings request, in nanoseconds.
-	wanted         atomic.Int64
+	mu             sync.Mutex
+	peers          *peers.Set
+	registry       *registry.Registry
+	pings          reports.Pings
 	pulling        bool
 	stopReading    context.CancelFunc
 	storeReachable bool
@@ -135,11 +121,10 @@
 func StartBalancer(options BalancerOptions) (*Balancer, error) {
 	b := &Balancer{
 		options: options, clock: newClock(), incarnation: rand.Uint64(), engine: steering.New(options.Zone, options.LinkRate),
-		reports: make(chan flowReport, maxReports), held: newHeldSegments(), registry: registry.New(), tasks: newTasks(),
+		reports: make(chan flowReport, maxReports), held: newHeldSegments(), pings: reports.NewPings(), registry: registry.New(), tasks: newTasks(),
 		metrics: telemetry.NewSegmentMetrics("balancer/"+options.Host, steering.ReasonNames()...),
 	}
 	b.out = transmitter{options.Logger, b.metrics}
-	b.wanted.Store(int64(reports.ActiveInterval))
 	b.peers = peers.New(b.clock.now(), peers.Self{Address: options.Link, Zone: options.Zone, Capacity: options.capacity()}, options.Seeds)
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	options.Source.OnUnusable(b.recordUnusable)
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -147,10 +147,7 @@
 	b.confirmed.Store(b.peers.Fresh(now) && !behind)
 	b.divert.Store(b.peers.ShouldDivert(now))
 	due := b.peers.Due(now, false)
-	pings := now-b.lastPing >= pingInterval || b.becameActive(now)
-	if pings {
-		b.lastPing = now
-	}
+	round, pinging := b.pings.Round(now, time.Duration(b.lastPacket.Load()))
 	lost := b.peers.Lost(now)
 	age := int64(-1)
 	if contact := b.peers.ContactAge(now); contact != peers.Never {
@@ -163,8 +160,8 @@
 		b.options.Logger.Log(telemetry.PeerLost, "peer", peer)
 	}
 	b.sendDigests(now, due)
-	if pings {
-		b.sendPings(now)
+	if pinging {
+		b.sendPings(now, round)
 	} else {
 		b.pingUnreported(now)
 	}
@@ -179,42 +176,22 @@
 	b.metrics.Targets.Set(int64(len(table.Targets)))
 }
 
-// sendPings pings the agents that are due in this round. A balancer that has become active
-// pings all of them. A ping also describes the target if its agent has not sent a flow
-// restore yet, and in every roundsPerDescription-th round.
-func (b *Balancer) sendPings(now time.Duration) {
+// sendPings pings the agents of a round. A ping also describes the target if its agent has
+// not sent a flow restore yet.
+func (b *Balancer) sendPings(now time.Duration, round reports.Round) {
 	view := b.view.Load()
 	if view == nil {
 		return
 	}
-	b.pings++
-	describe := b.pings%roundsPerDescription == 0
-	wanted := reports.WantedInterval(now, time.Duration(b.lastPacket.Load()))
-	all := describe || wanted < time.Duration(b.wanted.Swap(int64(wanted)))
-	rounds := roundsPerPing
-	if wanted == reports.IdleInterval {
-		rounds = roundsPerIdlePing
-	}
 	for _, t := range view.Targets() {
-		missed := t.ReportAge(now) > 2*wanted
-		if all || missed || !t.FlowsRestored() || (b.pings+hostNumber(t))%rounds == 0 {
-			b.sendPing(now, view, t, describe || !t.FlowsRestored())
+		host := t.Agent.Addr().As4()
+		restored := t.FlowsRestored()
+		if !restored || round.Includes(host[len(host)-1], t.ReportAge(now)) {
+			b.sendPing(now, view, t, round.Describe || !restored)
 		}
 	}
 }
 
-// hostNumber returns a number that spreads the targets over the rounds of pings.
-func hostNumber(t *steering.Target) int {
-	ip := t.Agent.Addr().As4()
-	return int(ip[3])
-}
-
-// becameActive reports whether this balancer gets segments while its agents send reports
-// at the interval of an idle one.
-func (b *Balancer) becameActive(now time.Duration) bool {
-	return reports.WantedInterval(now, time.Duration(b.lastPacket.Load())) < time.Duration(b.wanted.Load())
-}
-
 // pingUnreported pings the agents that have not reported yet, so that their
 // targets get new flows as soon as the agents have started.
 func (b *Balancer) pingUnreported(now time.Duration) {
@@ -232,7 +209,9 @@
 // sendPing requests a report from the agent of a target. Describe adds the
 // published data of the target.
 func (b *Balancer) sendPing(now time.Duration, view *steering.View, t *steering.Target, describe bool) {
-	wanted := time.Duration(b.wanted.Load())
+	b.mu.Lock()
+	wanted := b.pings.Wanted()
+	b.mu.Unlock()
 	t.AwaitReports(now, wanted)
 	ping := &schema.LinkPing{Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag), ReportIntervalMs: uint32(wanted / time.Millisecond)}
 	if describe {
