--- a/internal/segnode/size_test.go
+++ b/internal/segnode/size_test.go
@@ -18,12 +18,12 @@
 	digest := &schema.LinkDigest{Incarnation: 1 << 63, RoutesVersion: 1 << 20, TargetsRevision: 1 << 30, ContactAgeMs: &age,
 		Reading: true, Zone: "zone-name", Capacity: 20000, Serving: true}
 	sizes := map[string]int{
-		"ping": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{Slots: 100, ServiceTag: 60000}}}),
+		"ping": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{Slots: 100, ServiceTag: 60000, ReportIntervalMs: 2000}}}),
 		"load": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: &schema.LinkLoad{ServiceTag: 60000, Pending: 200,
 			MeanPendingMilli: 200000, Complete: true, FailingMilli: 500, ServiceMicros: 100000, ExcludedShares: 1 << 31}}}),
 		"query": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Query{Query: &schema.LinkQuery{Flow: make([]byte, 12)}}}),
 	}
-	sizes["described ping"] = proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{Slots: 100, ServiceTag: 60000,
+	sizes["described ping"] = proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{Slots: 100, ServiceTag: 60000, ReportIntervalMs: 2000,
 		Target: &schema.LinkTarget{PatienceMs: 60000, BornUnixMs: 1 << 41, IdleMs: 120000, FlowsWanted: true}}}})
 	sizes["negative reply"] = proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Denial{Denial: &schema.LinkDenial{Flow: make([]byte, 12)}}})
 	sizes["digest"] = proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Digest{Digest: digest}})
