--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -28,8 +28,9 @@
 	// callerDelay and hopDelay are the one-way delays between a caller and the system
 	// and between two hosts of the system.
 	callerDelay, hopDelay = time.Millisecond, 500 * time.Microsecond
-	// reportInterval is the time between two reports of an agent to a balancer.
-	reportInterval = 40 * time.Millisecond
+	// defaultReportInterval is the time between two reports of an agent to a balancer of a
+	// small fleet.
+	defaultReportInterval = 40 * time.Millisecond
 	// tickInterval is the time between two ticks of engines and trackers.
 	tickInterval = 50 * time.Millisecond
 )
@@ -75,7 +76,9 @@
 	Classes   []Class
 	Targets   []Target
 	Balancers int
-	Surges    []Surge
+	// ReportInterval is the time between two reports of an agent to a balancer.
+	ReportInterval time.Duration
+	Surges         []Surge
 	// Duration is the time in which requests arrive.
 	Duration time.Duration
 	// DownFrom and DownTo bound the time in which no process of the system runs. After
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -66,6 +66,18 @@
 	}
 }
 
+// Guards against balancers that choose alike on reports of 200 ms, so that openings gather at
+// some targets and are passed around while others are free. The bounds are those of a small
+// fleet at the same load.
+func TestManyBalancersSpreadOpenings(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	r := run(c, "many-balancers", nil)
+	total := r.Total()
+	c.Check(total.InTimeShare() >= 0.98, qt.IsTrue, qt.Commentf("%+v", total))
+	c.Check(r.PassesPerOpening() <= 1.1, qt.IsTrue, qt.Commentf("%.2f", r.PassesPerOpening()))
+}
+
 // Guards against a refusal, near capacity, of requests that could be served in time while
 // targets idle for moments.
 func TestNearlyFullTargets(t *testing.T) {
--- a/internal/loadmodel/patterns.go
+++ b/internal/loadmodel/patterns.go
@@ -65,7 +65,29 @@
 			c.CallerZone, c.ShiftAt = 0, 2*time.Second
 			c.scale(1.6)
 		}},
+		{"many-balancers", "30 balancers with reports each 200 ms, 105 targets of 2 slots, half of the capacity", func(c *Config) {
+			c.large()
+		}},
+		{"many-balancers-burst", "the same, with four times the reads for 3 s", func(c *Config) {
+			c.large()
+			c.Surges = []Surge{{Read, 3 * time.Second, 6 * time.Second, 4}}
+		}},
+	}
+}
+
+// large makes the fleet so large that reports are as old as their bound allows.
+func (c *Config) large() {
+	const copies = 15
+	small := c.Targets
+	c.Targets = nil
+	for range copies {
+		c.Targets = append(c.Targets, small...)
+	}
+	for i := range c.Targets {
+		c.Targets[i].Slots, c.Targets[i].Queue = 2, 8
 	}
+	c.Balancers, c.ReportInterval = 30, 200*time.Millisecond
+	c.scale(copies / 2.0)
 }
 
 // Named returns the pattern with a name; false if there is none.
@@ -85,7 +107,7 @@
 			{Name: Read, Rate: 360, Work: 30 * time.Millisecond, Objective: 150 * time.Millisecond, Timeout: time.Second, Priority: 2, Retries: 2},
 			{Name: Write, Rate: 100, Work: 39 * time.Millisecond, Objective: 200 * time.Millisecond, Timeout: 1200 * time.Millisecond, Priority: 1, Retries: 2},
 		},
-		Balancers: 6, Duration: 8 * time.Second, RetryDelay: 100 * time.Millisecond, CallerZone: -1,
+		Balancers: 6, ReportInterval: defaultReportInterval, Duration: 8 * time.Second, RetryDelay: 100 * time.Millisecond, CallerZone: -1,
 		Admission: occupancy.DefaultPolicy(), Choice: steering.DefaultPolicy(), Seed: seed,
 	}
 	for _, speed := range []float64{0.8, 0.8, 1.6, 0.8, 0.8, 1.6, 0.8} {
--- a/internal/loadmodel/target.go
+++ b/internal/loadmodel/target.go
@@ -93,7 +93,7 @@
 			}
 		}
 	})
-	m.after(reportInterval, func() {
+	m.after(m.config.ReportInterval, func() {
 		if t.tracker == tracker {
 			t.report()
 		}
