reports: the interval of a ping is bounded; pings spread by the whole address

The interval that a ping asks for was read and never checked: one of 49 days, by a fault of a balancer, ended its reports (TestIntervalIsBounded, red before). The rounds were chosen by the last byte of the address, so that a fleet whose targets share it was pinged at once. The interval is passed to sendPing instead of read under the lock for each target.

--- a/internal/reports/pings.go
+++ b/internal/reports/pings.go
@@ -42,15 +42,16 @@
 		rounds = roundsPerIdlePing
 	}
 	describe := p.round%roundsPerDescription == 0
-	return Round{Describe: describe, wanted: wanted, all: describe || becameActive, number: p.round, rounds: rounds}, true
+	return Round{Describe: describe, Wanted: wanted, all: describe || becameActive, number: p.round, rounds: rounds}, true
 }
 
 // Round selects the agents that get a ping.
 type Round struct {
 	// Describe is set if all pings describe the target to its agent.
 	Describe bool
+	// Wanted is the longest time between two reports that the pings request.
+	Wanted time.Duration
 
-	wanted         time.Duration
 	all            bool
 	number, rounds int
 }
@@ -58,6 +59,6 @@
 // Includes reports whether the agent of a target is pinged. The host number spreads the
 // agents over the rounds; an agent whose last report is overdue is pinged in each round, so
 // that one that restarts learns of the balancer at once.
-func (r Round) Includes(hostNumber uint8, reportAge time.Duration) bool {
-	return r.all || reportAge > 2*r.wanted || (r.number+int(hostNumber))%r.rounds == 0
+func (r Round) Includes(hostNumber uint32, reportAge time.Duration) bool {
+	return r.all || reportAge > 2*r.Wanted || (uint32(r.number)+hostNumber)%uint32(r.rounds) == 0
 }
--- a/internal/reports/pings_test.go
+++ b/internal/reports/pings_test.go
@@ -9,7 +9,7 @@
 
 // pingsOf returns the times of the pings to an agent for a duration, in which it last
 // reported at lastReport and segments arrive while active.
-func pingsOf(p *Pings, from, length time.Duration, host uint8, active bool, lastReport func(now time.Duration) time.Duration) (times []time.Duration) {
+func pingsOf(p *Pings, from, length time.Duration, host uint32, active bool, lastReport func(now time.Duration) time.Duration) (times []time.Duration) {
 	lastSegment := time.Duration(0)
 	for now := from; now < from+length; now += tick {
 		if active {
@@ -33,7 +33,7 @@
 		most     int
 		interval time.Duration
 	}{{true, 16, time.Second}, {false, 11, 2 * time.Second}} {
-		for host := range uint8(12) {
+		for host := range uint32(12) {
 			p := NewPings()
 			times := pingsOf(&p, time.Minute, 12*time.Second, host, test.active, current)
 			c.Check(len(times) <= test.most, qt.IsTrue, qt.Commentf("%d pings", len(times)))
@@ -49,7 +49,7 @@
 // until its turn: agents killed or rolled one after the other.
 func TestRestartedAgentIsPingedInEachRound(t *testing.T) {
 	c := qt.New(t)
-	for host := range uint8(3) {
+	for host := range uint32(3) {
 		p := NewPings()
 		times := pingsOf(&p, time.Minute, 3*time.Second, host, true, func(time.Duration) time.Duration { return time.Minute - time.Second })
 		c.Check(times, qt.HasLen, 10)
@@ -70,7 +70,7 @@
 	round, due := p.Round(now+tick, now+tick)
 	c.Assert(due, qt.IsTrue)
 	c.Check(p.Wanted(), qt.Equals, ActiveInterval)
-	for host := range uint8(12) {
+	for host := range uint32(12) {
 		c.Check(round.Includes(host, time.Second), qt.IsTrue)
 	}
 	_, due = p.Round(now+2*tick, now+2*tick)
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -54,18 +54,15 @@
 // NewSchedule returns a schedule without balancers.
 func NewSchedule() *Schedule { return &Schedule{subscriptions: make(map[uint8]*subscription)} }
 
-// Ping records a ping of a balancer that wants a report in each interval; an interval of 0
-// stands for ActiveInterval.
+// Ping records a ping of a balancer that wants a report in each interval. An interval of 0
+// stands for ActiveInterval; others are brought between that and IdleInterval.
 func (s *Schedule) Ping(now time.Duration, balancer uint8, interval time.Duration) {
-	if interval <= 0 {
-		interval = ActiveInterval
-	}
 	sub := s.subscriptions[balancer]
 	if sub == nil {
 		sub = &subscription{}
 		s.subscriptions[balancer] = sub
 	}
-	sub.interval, sub.lastPing = max(interval, ActiveInterval), now
+	sub.interval, sub.lastPing = min(max(interval, ActiveInterval), IdleInterval), now
 }
 
 // Forget removes a balancer whose index is given to another one.
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -101,3 +101,12 @@
 	c.Check(WantedInterval(time.Minute, time.Minute-time.Second), qt.Equals, ActiveInterval)
 	c.Check(WantedInterval(time.Minute, 0), qt.Equals, IdleInterval)
 }
+
+// Guards against an interval out of range, after which a balancer would hear nothing.
+func TestIntervalIsBounded(t *testing.T) {
+	c := qt.New(t)
+	s := NewSchedule()
+	s.Ping(0, 1, 49*24*time.Hour)
+	c.Check(s.Due(tick, 0, false), qt.HasLen, 1)
+	c.Check(s.Due(tick+IdleInterval, 0, false), qt.HasLen, 1)
+}
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -1,6 +1,7 @@
 package segnode
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -186,8 +187,8 @@
 	for _, t := range view.Targets() {
 		host := t.Agent.Addr().As4()
 		restored := t.FlowsRestored()
-		if !restored || round.Includes(host[len(host)-1], t.ReportAge(now)) {
-			b.sendPing(now, view, t, round.Describe || !restored)
+		if !restored || round.Includes(binary.BigEndian.Uint32(host[:]), t.ReportAge(now)) {
+			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored)
 		}
 	}
 }
@@ -199,19 +200,19 @@
 	if view == nil {
 		return
 	}
+	b.mu.Lock()
+	wanted := b.pings.Wanted()
+	b.mu.Unlock()
 	for _, t := range view.Targets() {
 		if !t.Reported() && t.ReportAge(now) < unreportedPingTimeout {
-			b.sendPing(now, view, t, true)
+			b.sendPing(now, view, t, wanted, true)
 		}
 	}
 }
 
-// sendPing requests a report from the agent of a target. Describe adds the
-// published data of the target.
-func (b *Balancer) sendPing(now time.Duration, view *steering.View, t *steering.Target, describe bool) {
-	b.mu.Lock()
-	wanted := b.pings.Wanted()
-	b.mu.Unlock()
+// sendPing requests reports from the agent of a target, with at most the wanted time
+// between two. Describe adds the published data of the target.
+func (b *Balancer) sendPing(now time.Duration, view *steering.View, t *steering.Target, wanted time.Duration, describe bool) {
 	t.AwaitReports(now, wanted)
 	ping := &schema.LinkPing{Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag), ReportIntervalMs: uint32(wanted / time.Millisecond)}
 	if describe {
