--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -31,7 +31,8 @@
 	// timeoutIntervals is the number of intervals without a digest after which a peer
 	// counts as lost.
 	timeoutIntervals = peerTimeout / DigestInterval
-	// maxPhase bounds the phases of digests; it is a multiple of all usual intervals.
+	// maxPhase bounds the phases of digests. It is a multiple of the intervals of groups of
+	// up to 160 peers, so that phases are spread evenly over each.
 	maxPhase = 5040 * DigestInterval
 	// maxContactAge is the age of the store's last response to any balancer of
 	// the fleet above which another balancer starts to read. A reader gets a
@@ -219,12 +220,15 @@
 // peers in its group, so that the rate of digests does not.
 func (s *Set) interval(p *peer) time.Duration {
 	group := s.remote
-	if p.digest.Zone == s.self.Zone {
+	if s.isLocal(p) {
 		group = s.local
 	}
 	return DigestInterval * time.Duration(max(1, (group+groupFanout-1)/groupFanout))
 }
 
+// isLocal reports whether a peer is in the own zone.
+func (s *Set) isLocal(p *peer) bool { return p.digest.Zone == s.self.Zone }
+
 func (s *Set) live(now time.Duration, p *peer) bool {
 	return p.seen && now-p.lastSeen <= timeoutIntervals*s.interval(p)
 }
@@ -308,7 +312,7 @@
 	for _, p := range s.peers {
 		switch {
 		case !p.seen:
-		case p.digest.Zone == s.self.Zone:
+		case s.isLocal(p):
 			s.local++
 		default:
 			s.remote++
@@ -322,7 +326,7 @@
 func (s *Set) announced(now time.Duration) []netip.AddrPort {
 	var local, remote []netip.AddrPort
 	for _, address := range s.Live(now) {
-		if s.peers[address].digest.Zone == s.self.Zone {
+		if s.isLocal(s.peers[address]) {
 			local = append(local, address)
 		} else {
 			remote = append(remote, address)
