--- a/internal/cli/nodecheck.go
+++ b/internal/cli/nodecheck.go
@@ -68,10 +68,10 @@
 		return errors.Wrap(err, file)
 	}
 	for _, fault := range faults {
-		fmt.Fprintf(out, "%s: route %s: %v\n", file, fault.Route, fault.Err)
+		fmt.Fprintf(out, "%s: %v\n", file, fault)
 	}
 	if len(faults) > 0 {
-		return errors.Errorf("%s: %d faults in routes", file, len(faults))
+		return errors.Errorf("%s: %d faults in the configuration", file, len(faults))
 	}
 	fmt.Fprintf(out, "%s: version %d, %d routes\n", file, routes.Version, len(routes.Routes))
 	return nil
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -157,21 +157,22 @@
 	return !a.IsUnspecified() && !a.IsMulticast() && a != netip.AddrFrom4([4]byte{255, 255, 255, 255})
 }
 
+// SameIncarnation reports whether both entries describe the same incarnation of a
+// target.
+func (t *Target) SameIncarnation(other *Target) bool {
+	return t.ID == other.ID && t.Born == other.Born && t.Address == other.Address && t.Service == other.Service
+}
+
 // Unusable describes a published entry, or a part of one, that was left out.
 type Unusable struct {
-	// Key is the key of the entry, with the name of the route if only that was left out.
+	// Key is the key of the entry.
 	Key string
+	// Err says what is wrong with it; it names the route if only a route was left out.
 	Err error
 	// Configuration is set if a whole configuration could not be read and is not in force.
 	Configuration bool
 }
 
-// SameIncarnation reports whether both entries describe the same incarnation of a
-// target.
-func (t *Target) SameIncarnation(other *Target) bool {
-	return t.ID == other.ID && t.Born == other.Born && t.Address == other.Address && t.Service == other.Service
-}
-
 // Table is the list of targets at one revision of the store.
 type Table struct {
 	// Revision is the store revision up to which the table is complete; 0 means that no
