--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -173,14 +173,17 @@
 	Configuration bool
 }
 
-// Table is the list of targets at one revision of the store.
+// Table is the list of targets at one position of the store.
 type Table struct {
-	// Revision is the store revision up to which the table is complete; 0 means that no
-	// table has been received.
-	Revision uint64
-	Targets  []Target
+	// Epoch and Revision are the position of the store up to which the table is complete.
+	// Revision 0 means that no table has been received.
+	Epoch, Revision uint64
+	Targets         []Target
 }
 
+// Position returns the position of the store up to which the table is complete.
+func (t Table) Position() Position { return Position{t.Epoch, t.Revision} }
+
 // Registry is the view of routes and targets of one process. It is not safe for
 // concurrent use.
 type Registry struct {
@@ -203,7 +206,7 @@
 // TableToSend returns the table in force for another process, which must not use lapsed
 // targets for longer than this one.
 func (r *Registry) TableToSend(now time.Duration) Table {
-	table := Table{Revision: r.table.Revision, Targets: slices.Clone(r.table.Targets)}
+	table := Table{Epoch: r.table.Epoch, Revision: r.table.Revision, Targets: slices.Clone(r.table.Targets)}
 	for i := range table.Targets {
 		t := &table.Targets[i]
 		if t.Lapsed {
@@ -264,7 +267,7 @@
 			targets = append(targets, t)
 		}
 	}
-	r.table = Table{Revision: table.Revision, Targets: targets}
+	r.table = Table{Epoch: table.Epoch, Revision: table.Revision, Targets: targets}
 	return true
 }
 
@@ -329,7 +332,7 @@
 			kept = append(kept, target)
 		}
 	}
-	return Table{Revision: max(revision, t.Revision), Targets: kept}
+	return Table{Epoch: t.Epoch, Revision: max(revision, t.Revision), Targets: kept}
 }
 
 // Kinds of target changes; log lines carry them.
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -174,6 +174,8 @@
 	routes, table := b.registry.Routes(), b.registry.Table()
 	b.view.Store(steering.NewView(now, b.view.Load(), routes, table, b.options.Packets.Port()))
 	b.metrics.Version.Set(int64(routes.Version))
+	b.metrics.Epoch.Set(int64(table.Epoch))
+	b.metrics.Revision.Set(int64(table.Revision))
 	b.metrics.Targets.Set(int64(len(table.Targets)))
 }
 
@@ -295,15 +297,24 @@
 func (b *Balancer) acceptTable(table registry.Table, source string) {
 	now := b.clock.now()
 	b.mu.Lock()
-	changes := registry.Difference(b.registry.Table(), table)
+	current := b.registry.Table()
+	changes := registry.Difference(current, table)
 	accepted := b.registry.AcceptTable(now, table)
 	if accepted {
 		b.publishView(now)
 	}
 	b.mu.Unlock()
 	if !accepted {
+		if len(changes) > 0 && b.options.Logger.Allow(telemetry.TableIgnored) {
+			b.options.Logger.Log(telemetry.TableIgnored, "epoch", table.Epoch, "revision", table.Revision,
+				"current_epoch", current.Epoch, "current_revision", current.Revision, "changes", len(changes), "source", source)
+		}
 		return
 	}
+	if table.Epoch != current.Epoch && current.Revision != 0 {
+		b.options.Logger.Log(telemetry.StoreRestored, "epoch", table.Epoch, "revision", table.Revision,
+			"previous_epoch", current.Epoch, "previous_revision", current.Revision, "changes", len(changes), "source", source)
+	}
 	b.pingUnreported(now)
 	for _, c := range changes {
 		if b.options.Logger.Allow(telemetry.TargetChanged) {
--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -100,27 +100,32 @@
 // follow reads a whole value and then watches it for changes. It reads the
 // whole value again when the store no longer has the history of the watched
 // revision.
-func (b *Balancer) follow(ctx context.Context, read func(context.Context) (uint64, error),
-	watch func(context.Context, uint64) (revision uint64, changed bool, err error)) {
+func (b *Balancer) follow(ctx context.Context, value string, read func(context.Context) (registry.Position, error),
+	watch func(context.Context, registry.Position) (position registry.Position, changed bool, err error)) {
 	backoff := platform.Backoff{Min: retryMinDelay, Max: retryMaxDelay}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	revision := uint64(0)
+	// position is the zero value while the whole value has to be read.
+	var position registry.Position
 	for ctx.Err() == nil {
 		start := b.clock.now()
 		callCtx, cancel := context.WithTimeout(ctx, watchTimeout+readTimeout)
 		var err error
 		changed := false
-		if revision == 0 {
+		if position.Revision == 0 {
 			readCtx, cancelRead := context.WithTimeout(ctx, readTimeout)
-			revision, err = read(readCtx)
+			position, err = read(readCtx)
 			cancelRead()
+			if err == nil {
+				b.options.Logger.Log(telemetry.StoreRead, "value", value, "epoch", position.Epoch, "revision", position.Revision)
+			}
 		} else {
-			var next uint64
-			next, changed, err = watch(callCtx, revision)
+			var next registry.Position
+			next, changed, err = watch(callCtx, position)
 			if err == nil {
-				revision = max(revision, next)
+				position.Revision = max(position.Revision, next.Revision)
 			} else if errors.Is(err, ErrHistoryLost) {
-				revision = 0
+				b.options.Logger.Log(telemetry.HistoryLost, "value", value, "epoch", position.Epoch, "revision", position.Revision)
+				position = registry.Position{}
 			}
 		}
 		cancel()
@@ -157,21 +162,21 @@
 // followRoutes keeps the configuration current until ctx is done.
 func (b *Balancer) followRoutes(ctx context.Context) {
 	source := b.options.Source
-	b.follow(ctx, func(ctx context.Context) (uint64, error) {
-		routes, revision, err := source.Routes(ctx)
+	b.follow(ctx, "routes", func(ctx context.Context) (registry.Position, error) {
+		routes, position, err := source.Routes(ctx)
 		if err != nil {
-			return 0, err
+			return registry.Position{}, err
 		}
 		if routes.Version != 0 {
 			b.acceptRoutes(routes, "store")
 		}
-		return revision, nil
-	}, func(ctx context.Context, after uint64) (uint64, bool, error) {
-		routes, revision, err := source.WatchRoutes(ctx, after, watchTimeout)
+		return position, nil
+	}, func(ctx context.Context, after registry.Position) (registry.Position, bool, error) {
+		routes, position, err := source.WatchRoutes(ctx, after, watchTimeout)
 		if err == nil && routes != nil {
 			b.acceptRoutes(*routes, "store")
 		}
-		return revision, routes != nil, err
+		return position, routes != nil, err
 	})
 }
 
@@ -184,24 +189,24 @@
 		return
 	}
 	var table registry.Table
-	b.follow(ctx, func(ctx context.Context) (uint64, error) {
+	b.follow(ctx, "targets", func(ctx context.Context) (registry.Position, error) {
 		read, err := source.Targets(ctx)
 		if err != nil {
-			return 0, err
+			return registry.Position{}, err
 		}
 		table = read
 		b.acceptTable(table, "store")
-		return table.Revision, nil
-	}, func(ctx context.Context, after uint64) (uint64, bool, error) {
-		changes, revision, err := source.WatchTargets(ctx, after, watchTimeout)
+		return table.Position(), nil
+	}, func(ctx context.Context, after registry.Position) (registry.Position, bool, error) {
+		changes, position, err := source.WatchTargets(ctx, after, watchTimeout)
 		if err != nil {
-			return 0, false, err
+			return registry.Position{}, false, err
 		}
-		table = table.Apply(changes, revision)
+		table = table.Apply(changes, position.Revision)
 		if len(changes) > 0 {
 			b.acceptTable(table, "store")
 		}
-		return revision, len(changes) > 0, nil
+		return position, len(changes) > 0, nil
 	})
 }
 
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -38,18 +38,18 @@
 	// OnUnusable sets the function that is called for each entry, or part of one, that is
 	// left out because it cannot be used. It is called before the other methods.
 	OnUnusable(report func(registry.Unusable))
-	// Routes returns the configuration and the revision at which it was read. The version
+	// Routes returns the configuration and the position at which it was read. The version
 	// of the configuration is 0 if there is none or it cannot be read.
-	Routes(ctx context.Context) (registry.Routes, uint64, error)
-	// WatchRoutes waits for a configuration published after a revision. The
+	Routes(ctx context.Context) (registry.Routes, registry.Position, error)
+	// WatchRoutes waits for a configuration published after a position. The
 	// pointer is nil when none that can be read arrived within the timeout.
-	WatchRoutes(ctx context.Context, after uint64, timeout time.Duration) (*registry.Routes, uint64, error)
+	WatchRoutes(ctx context.Context, after registry.Position, timeout time.Duration) (*registry.Routes, registry.Position, error)
 	// Targets returns the complete table.
 	Targets(ctx context.Context) (registry.Table, error)
-	// WatchTargets waits for changes of targets after a revision, for at most
-	// the timeout. It returns them with the revision up to which they are
+	// WatchTargets waits for changes of targets after a position, for at most
+	// the timeout. It returns them with the position up to which they are
 	// complete.
-	WatchTargets(ctx context.Context, after uint64, timeout time.Duration) ([]registry.Change, uint64, error)
+	WatchTargets(ctx context.Context, after registry.Position, timeout time.Duration) ([]registry.Change, registry.Position, error)
 }
 
 // ErrHistoryLost is returned by a watch when the store no longer has the
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -124,6 +124,16 @@
 		Message: "another balancer reads the store; this one stops reading it", Fields: nil}
 	PullFailed = Event{Number: 227, Level: log.WarnLevel, Name: "pull_failed",
 		Message: "pull of routes or targets from a peer failed", Fields: []string{"peer", "error"}}
+	StoreRead = Event{Number: 229, Level: log.InfoLevel, Name: "store_read",
+		Message: "whole value read from the store", Fields: []string{"value", "epoch", "revision"}}
+	HistoryLost = Event{Number: 230, Level: log.InfoLevel, Name: "history_lost",
+		Message: "the store cannot continue the watch; reading the whole value", Fields: []string{"value", "epoch", "revision"}}
+	StoreRestored = Event{Number: 231, Level: log.WarnLevel, Name: "store_restored",
+		Message: "the store was restored from an earlier copy; its table is accepted",
+		Fields:  []string{"epoch", "revision", "previous_epoch", "previous_revision", "changes", "source"}}
+	TableIgnored = Event{Number: 232, Level: log.WarnLevel, Name: "table_ignored",
+		Message: "table of targets differs but is not newer; ignoring it",
+		Fields:  []string{"epoch", "revision", "current_epoch", "current_revision", "changes", "source"}, Limited: true}
 	RoutesUnusable = Event{Number: 228, Level: log.ErrorLevel, Name: "routes_unusable",
 		Message: "published configuration cannot be read; the last one stays in force", Fields: []string{"key", "error"}}
 )
@@ -177,6 +187,7 @@
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed, RoutesUnusable,
+		StoreRead, HistoryLost, StoreRestored, TableIgnored,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -49,13 +49,13 @@
 // SegmentMetrics holds the metrics of a process in segment mode. SegmentMetricDescs
 // describes each of them. It is safe for concurrent use.
 type SegmentMetrics struct {
-	SegmentsIn, Forwarded, Answered, Returned, Refused     Counter
-	AnswersFailed, Resets, Malformed, SendErrors, Overruns Counter
-	StoreCalls, StoreErrors, PullErrors, EntriesUnusable   Counter
-	Flows, Pending, Version, Targets, ViewAge              Gauge
-	RoutesUnusable                                         Gauge
-	AnswerWait, OpeningToAnswer, StoreCall, Search         *Histogram
-	ExpectedWait, WaitError                                *Histogram
+	SegmentsIn, Forwarded, Answered, Returned, Refused         Counter
+	AnswersFailed, Resets, Malformed, SendErrors, Overruns     Counter
+	StoreCalls, StoreErrors, PullErrors, EntriesUnusable       Counter
+	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
+	RoutesUnusable                                             Gauge
+	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
+	ExpectedWait, WaitError                                    *Histogram
 
 	reasons     [maxReasons]Counter
 	reasonNames []string
@@ -131,6 +131,10 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Pending }),
 		gaugeDesc("routes_version", "version", "balancer: version of the routes in force",
 			func(m *SegmentMetrics) *Gauge { return &m.Version }),
+		gaugeDesc("store_epoch", "restores", "balancer: epoch of the store that the table in force is from; 0 if unknown",
+			func(m *SegmentMetrics) *Gauge { return &m.Epoch }),
+		gaugeDesc("targets_revision", "revision", "balancer: revision of the store that the table in force is from",
+			func(m *SegmentMetrics) *Gauge { return &m.Revision }),
 		gaugeDesc("targets", "targets", "balancer: targets in the current table",
 			func(m *SegmentMetrics) *Gauge { return &m.Targets }),
 		gaugeDesc("beliefs_age_ms", "milliseconds",
