--- /dev/null
+++ b/internal/registry/restore_test.go
@@ -0,0 +1,142 @@
+package registry
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// born returns an entry with a start time.
+func born(id, address string, start int64) Target {
+	t := entry(id, address)
+	t.Born = start
+	return t
+}
+
+func draining(t Target) Target {
+	t.Draining = true
+	return t
+}
+
+// drains returns the IDs of the targets in a table that are draining.
+func drains(t Table) []string {
+	var out []string
+	for _, target := range t.Targets {
+		if target.Draining {
+			out = append(out, target.ID)
+		}
+	}
+	return out
+}
+
+// Guards against drains and new targets that are ignored until the revision of a restored store
+// has passed its earlier height (day restored-storm: DRAIN).
+func TestTableOfARestoredStoreIsAccepted(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	a, b := born("a", "10.0.0.1:80", 5), born("b", "10.0.0.2:80", 6)
+	c.Check(r.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{a, b}}), qt.IsTrue)
+	c.Check(r.AcceptTable(time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{a, b}}), qt.IsTrue)
+	c.Check(r.AcceptTable(2*time.Second, Table{Epoch: 2, Revision: 18, Targets: []Target{a, draining(b), born("c", "10.0.0.3:80", 7)}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a", "b", "c"})
+	c.Check(drains(r.Table()), qt.DeepEquals, []string{"b"})
+	c.Check(r.AcceptTable(3*time.Second, Table{Epoch: 1, Revision: 41, Targets: []Target{a, b}}), qt.IsFalse, qt.Commentf("table of an earlier epoch"))
+	c.Check(drains(r.Table()), qt.DeepEquals, []string{"b"})
+}
+
+// Guards against new flows at a target that drains: the copy is from before its drain, and the
+// target has not written its entry again yet.
+func TestRestoredCopyDoesNotUndoADrain(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	a, b := born("a", "10.0.0.1:80", 5), born("b", "10.0.0.2:80", 6)
+	r.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{draining(a), b}})
+	c.Check(r.AcceptTable(time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{a, b}}), qt.IsTrue)
+	c.Check(drains(r.Table()), qt.DeepEquals, []string{"a"})
+	c.Check(r.AcceptTable(2*time.Second, Table{Epoch: 2, Revision: 17, Targets: []Target{a, draining(b)}}), qt.IsTrue)
+	c.Check(drains(r.Table()), qt.DeepEquals, []string{"a", "b"})
+	// A second restore begins with what is known then.
+	c.Check(r.AcceptTable(3*time.Second, Table{Epoch: 3, Revision: 16, Targets: []Target{a, b}}), qt.IsTrue)
+	c.Check(drains(r.Table()), qt.DeepEquals, []string{"a", "b"})
+	c.Check(r.AcceptTable(4*time.Second, Table{Epoch: 3, Revision: 17, Targets: []Target{born("a", "10.0.0.1:80", 9), b}}), qt.IsTrue)
+	c.Check(drains(r.Table()), qt.DeepEquals, []string{"b"}, qt.Commentf("the next incarnation of a"))
+}
+
+// Guards against a target that drained and left and is back in the copy: no entry of a later
+// incarnation says that it is gone.
+func TestRestoredCopyDoesNotBringBackADrainedTarget(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	a, b := born("a", "10.0.0.1:80", 5), born("b", "10.0.0.2:80", 6)
+	r.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{draining(a), b}})
+	r.AcceptTable(time.Second, Table{Epoch: 1, Revision: 41, Targets: []Target{b}})
+	c.Check(r.AcceptTable(2*time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{a, b}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"b"})
+	c.Check(r.AcceptTable(3*time.Second, Table{Epoch: 2, Revision: 17, Targets: []Target{born("a", "10.0.0.1:80", 9), b}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a", "b"}, qt.Commentf("the next incarnation of a"))
+}
+
+// Guards against the loss of a target whose predecessor at its address, or under its ID, is back
+// in the copy: its flows would go to a service that is no longer there.
+func TestRestoredCopyDoesNotReplaceASuccessor(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	old, successor := born("old", "10.0.0.1:80", 5), born("new", "10.0.0.1:80", 9)
+	restarted := born("b", "10.0.0.2:80", 8)
+	r.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{successor, restarted}})
+	c.Check(r.AcceptTable(time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{old, born("b", "10.0.0.2:80", 6)}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"new lapsed", "b lapsed"})
+	c.Check(r.Table().Targets[1].Born, qt.Equals, int64(8))
+	c.Check(r.AcceptTable(2*time.Second, Table{Epoch: 2, Revision: 18, Targets: []Target{old, successor, restarted}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"new", "b"})
+}
+
+// Guards against flows that lose their draining target because the copy is from before its start.
+func TestDrainingTargetMissingInTheCopyStays(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	a, b := born("a", "10.0.0.1:80", 5), born("b", "10.0.0.2:80", 6)
+	r.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{draining(a), b}})
+	r.AcceptTable(time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{b}})
+	got := ids(r.Table())
+	slices.Sort(got)
+	c.Check(got, qt.DeepEquals, []string{"a lapsed", "b"})
+	c.Check(drains(r.Table()), qt.DeepEquals, []string{"a"})
+	c.Check(r.AcceptTable(2*time.Second, Table{Epoch: 2, Revision: 17, Targets: []Target{draining(a), b}}), qt.IsTrue)
+	c.Check(r.AcceptTable(3*time.Second, Table{Epoch: 2, Revision: 18, Targets: []Target{b}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"b"}, qt.Commentf("it has left"))
+}
+
+// Guards against a process that takes over the reading soon after its start and believes the copy,
+// because it has heard of a restore only from its peers.
+func TestPeersPassOnWhatTheCopyLost(t *testing.T) {
+	c := qt.New(t)
+	r, peer := New(), New()
+	a, b, gone := born("a", "10.0.0.1:80", 5), born("b", "10.0.0.2:80", 6), born("c", "10.0.0.3:80", 7)
+	peer.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{draining(a), b, draining(gone)}})
+	peer.AcceptTable(time.Second, Table{Epoch: 1, Revision: 41, Targets: []Target{draining(a), b}})
+	peer.AcceptTable(2*time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{a, b, gone}})
+	c.Check(r.AcceptTable(0, peer.TableToSend(2*time.Second)), qt.IsTrue)
+	c.Check(r.AcceptTable(time.Second, Table{Epoch: 2, Revision: 17, Targets: []Target{a, b, gone}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a", "b"})
+	c.Check(drains(r.Table()), qt.DeepEquals, []string{"a"})
+}
+
+// Guards against a target that stays unused because its entry in a restored store is never
+// believed again.
+func TestStoreIsBelievedAgain(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	a, gone := born("a", "10.0.0.1:80", 5), born("c", "10.0.0.3:80", 7)
+	r.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{draining(a), draining(gone)}})
+	r.AcceptTable(time.Second, Table{Epoch: 1, Revision: 41, Targets: []Target{draining(a)}})
+	r.AcceptTable(2*time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{a, gone}})
+	for now := 2 * time.Second; now < time.Minute; now += time.Second {
+		r.Tick(now)
+	}
+	c.Check(r.AcceptTable(time.Minute, Table{Epoch: 2, Revision: 17, Targets: []Target{a, gone}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a", "c"})
+	c.Check(drains(r.Table()), qt.HasLen, 0)
+}
