Positions of the store are compared by epoch first

Cause: a table was newer if its revision was higher. A restored store gives out its revisions again, so that the reader rejected each table, and no balancer pulled one, until the revision had passed its earlier height. The log of the reader shows it (232: epoch 2 revision 18 against epoch 1 revision 40). Class: a number whose counter can begin anew is compared without the number of the counter.

Ruled out: a missed watch event (229 and 232 show that the reader got the drain), a late answer of the store (0.5 s after the drain at the latest).

Fix: registry.Position is epoch and revision; tables, digests and pulls carry it. What a peer of an earlier epoch says of its contact to the store, or of its reading, confirms nothing. Log lines that name a revision name the epoch. A build without epochs counts as the earliest one: it is not believed by one that has read an epoch itself, and the two read the store side by side.

TestPullAfterARestore and TestOutdatedPeerConfirmsNothing guard the peers.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/dchest/siphash"
+
+	"github.com/peridotstall/peridotstall/internal/registry"
 )
 
 const (
@@ -55,8 +57,10 @@
 	// Incarnation identifies the incarnation of the process; it differs after each
 	// start.
 	Incarnation uint64
-	// Routes and Targets are the versions of the configuration and the table.
-	Routes, Targets uint64
+	// Routes is the version of the configuration.
+	Routes uint64
+	// Targets is the position of the table.
+	Targets registry.Position
 	// ContactAge is the age of the store's last response to any reader, as far as
 	// the balancer has received it. It is Never if there was none.
 	ContactAge time.Duration
@@ -113,9 +117,11 @@
 	// valid if hasContact is set.
 	lastContact time.Duration
 	hasContact  bool
-	failing     bool
-	reading     bool
-	leaving     bool
+	// epoch is the epoch of the table of this balancer.
+	epoch   uint64
+	failing bool
+	reading bool
+	leaving bool
 	// remote and local are the numbers of peers in other zones and in the own one that
 	// have sent a digest.
 	remote, local int
@@ -172,12 +178,19 @@
 	for _, address := range d.Peers {
 		s.add(now, address)
 	}
-	if d.ContactAge != Never {
+	if d.ContactAge != Never && !s.isOutdated(p) {
 		s.updateContact(now - d.ContactAge)
 	}
 	return fresh
 }
 
+// EnterEpoch records the epoch of the table of this balancer.
+func (s *Set) EnterEpoch(epoch uint64) { s.epoch = epoch }
+
+// isOutdated reports whether a peer has not noticed yet that the store was restored. What it
+// says of the store confirms nothing about the current epoch.
+func (s *Set) isOutdated(p *peer) bool { return p.digest.Targets.Epoch < s.epoch }
+
 // updateContact moves the time of the store's last response forward.
 func (s *Set) updateContact(at time.Duration) {
 	if !s.hasContact || at > s.lastContact {
@@ -235,8 +248,8 @@
 
 // reads reports whether a peer reads the store with success. A claim is not believed for
 // longer than peerTimeout, so that a lost reader is replaced in time.
-func (p *peer) reads(now time.Duration) bool {
-	return p.digest.Reading && !p.digest.Leaving && now-p.lastSeen <= peerTimeout
+func (s *Set) reads(now time.Duration, p *peer) bool {
+	return p.digest.Reading && !s.isOutdated(p) && !p.digest.Leaving && now-p.lastSeen <= peerTimeout
 }
 
 // Live returns the peers from which digests arrive, sorted by address.
@@ -253,21 +266,21 @@
 
 // Digest returns the state that this balancer sends to its peers. It lists some of them
 // in turn.
-func (s *Set) Digest(now time.Duration, incarnation, routes, targets uint64) Digest {
+func (s *Set) Digest(now time.Duration, incarnation, routes uint64, targets registry.Position) Digest {
 	return s.digest(now, incarnation, routes, targets, maxDigestPeers)
 }
 
 // Introduction returns the state that this balancer sends to a new peer, which learns the
 // other ones from it.
-func (s *Set) Introduction(now time.Duration, incarnation, routes, targets uint64) Digest {
+func (s *Set) Introduction(now time.Duration, incarnation, routes uint64, targets registry.Position) Digest {
 	return s.digest(now, incarnation, routes, targets, maxIntroducedPeers)
 }
 
-func (s *Set) digest(now time.Duration, incarnation, routes, targets uint64, maxListed int) Digest {
+func (s *Set) digest(now time.Duration, incarnation, routes uint64, targets registry.Position, maxListed int) Digest {
 	d := Digest{
 		Incarnation: incarnation, Routes: routes, Targets: targets,
 		ContactAge: s.ContactAge(now), Reading: s.reading, Failing: s.failing, Leaving: s.leaving,
-		Serving: routes != 0 && targets != 0, Zone: s.self.Zone, Capacity: s.self.Capacity,
+		Serving: routes != 0 && targets.Revision != 0, Zone: s.self.Zone, Capacity: s.self.Capacity,
 	}
 	live := s.Live(now)
 	for range min(len(live), maxListed) {
@@ -345,14 +358,14 @@
 
 // Newer returns a live peer that has a newer version of the configuration or
 // the table, if there is one. It prefers readers, then the lowest address.
-func (s *Set) Newer(now time.Duration, routes, targets uint64) (netip.AddrPort, bool) {
+func (s *Set) Newer(now time.Duration, routes uint64, targets registry.Position) (netip.AddrPort, bool) {
 	var best netip.AddrPort
 	found, reading := false, false
 	for address, p := range s.peers {
-		if p.digest.Routes <= routes && p.digest.Targets <= targets || !s.live(now, p) {
+		if p.digest.Routes <= routes && !p.digest.Targets.After(targets) || !s.live(now, p) {
 			continue
 		}
-		reads := p.reads(now)
+		reads := s.reads(now, p)
 		if !found || reads && !reading || reads == reading && address.Compare(best) < 0 {
 			best, found, reading = address, true, reads
 		}
@@ -382,7 +395,7 @@
 			rank++
 		}
 		// Of several readers, the one that comes first in the order stays.
-		if s.reading && before && p.reads(now) {
+		if s.reading && before && s.reads(now, p) {
 			return false
 		}
 	}
@@ -409,7 +422,7 @@
 // HasReader reports whether a live peer reads the store with success.
 func (s *Set) HasReader(now time.Duration) bool {
 	for _, p := range s.peers {
-		if p.seen && p.reads(now) {
+		if p.seen && s.reads(now, p) {
 			return true
 		}
 	}
@@ -419,7 +432,7 @@
 // PullFailed drops the versions that a peer sent, until its next digest.
 func (s *Set) PullFailed(from netip.AddrPort) {
 	if p := s.peers[from]; p != nil {
-		p.digest.Routes, p.digest.Targets = 0, 0
+		p.digest.Routes, p.digest.Targets = 0, registry.Position{}
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/peridotstall/peridotstall/internal/registry"
 )
 
 // fleet simulates balancers that exchange digests without loss.
@@ -64,11 +66,11 @@
 				s.StopReading()
 			}
 			for _, to := range s.Due(f.now, false) {
-				d := s.Digest(f.now, 1, 0, 0)
+				d := s.Digest(f.now, 1, 0, registry.Position{})
 				f.digests++
 				f.addresses += len(d.Peers)
 				if other := f.sets[to]; other != nil && !f.down[to] && other.Receive(f.now, self, d) {
-					s.Receive(f.now, to, other.Introduction(f.now, 1, 0, 0))
+					s.Receive(f.now, to, other.Introduction(f.now, 1, 0, registry.Position{}))
 				}
 			}
 		}
@@ -195,7 +197,7 @@
 		s.Receive(0, address(i), Digest{Zone: zone(i)})
 	}
 	c.Check(s.Due(1, true), qt.HasLen, 2*groupFanout)
-	c.Check(len(s.Introduction(1, 1, 0, 0).Peers) <= maxIntroducedPeers, qt.IsTrue)
+	c.Check(len(s.Introduction(1, 1, 0, registry.Position{}).Peers) <= maxIntroducedPeers, qt.IsTrue)
 }
 
 // Guards against a large fleet in which live balancers count as lost, a lost one is not
@@ -230,23 +232,61 @@
 	}
 }
 
+func at(epoch, revision uint64) registry.Position {
+	return registry.Position{Epoch: epoch, Revision: revision}
+}
+
 // Guards against pulls from a peer that has nothing newer or failed to answer.
 func TestPullSource(t *testing.T) {
 	c := qt.New(t)
 	s := New(0, Self{Address: address(0)}, nil)
-	s.Receive(0, address(1), Digest{Routes: 4, Targets: 9})
-	_, found := s.Newer(0, 4, 9)
+	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(1, 9)})
+	_, found := s.Newer(0, 4, at(1, 9))
 	c.Check(found, qt.IsFalse)
-	s.Receive(0, address(2), Digest{Routes: 5, Targets: 9, Reading: true})
-	s.Receive(0, address(3), Digest{Routes: 5, Targets: 9})
-	from, found := s.Newer(0, 4, 9)
+	s.Receive(0, address(2), Digest{Routes: 5, Targets: at(1, 9), Reading: true})
+	s.Receive(0, address(3), Digest{Routes: 5, Targets: at(1, 9)})
+	from, found := s.Newer(0, 4, at(1, 9))
 	c.Check(found, qt.IsTrue)
 	c.Check(from, qt.Equals, address(2))
 	s.PullFailed(address(2))
-	from, _ = s.Newer(0, 4, 9)
+	from, _ = s.Newer(0, 4, at(1, 9))
 	c.Check(from, qt.Equals, address(3))
 }
 
+// Guards against peers that do not follow a restored store, whose revision has gone back, and
+// against pulls from one that has not noticed the restore.
+func TestPullAfterARestore(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	s.EnterEpoch(1)
+	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(2, 3)})
+	from, found := s.Newer(0, 4, at(1, 9))
+	c.Check(found, qt.IsTrue)
+	c.Check(from, qt.Equals, address(1))
+	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(1, 12)})
+	_, found = s.Newer(0, 4, at(2, 3))
+	c.Check(found, qt.IsFalse)
+}
+
+// Guards against a table that counts as confirmed, and against a fleet without a reader, because of
+// what a peer says that has not noticed that the store was restored.
+func TestOutdatedPeerConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	s.StoreResponded(0)
+	s.StopReading()
+	s.EnterEpoch(2)
+	now := 2 * time.Second
+	s.Receive(now, address(1), Digest{Targets: at(1, 40), ContactAge: 0, Reading: true})
+	c.Check(s.Fresh(now), qt.IsFalse)
+	c.Check(s.HasReader(now), qt.IsFalse)
+	c.Check(s.ShouldRead(now), qt.IsTrue)
+	s.Receive(now, address(1), Digest{Targets: at(2, 3), ContactAge: 0, Reading: true})
+	c.Check(s.Fresh(now), qt.IsTrue)
+	c.Check(s.HasReader(now), qt.IsTrue)
+	c.Check(s.ShouldRead(now), qt.IsFalse)
+}
+
 // Guards against small balancers that limit the throughput of a zone, against a
 // zone with fewer than half of its balancers in rotation, and against a
 // balancer that stays out of rotation while it is needed.
@@ -338,12 +378,12 @@
 func BenchmarkNewer(b *testing.B) {
 	s := New(0, Self{Address: address(0), Zone: zone(0)}, nil)
 	for i := 1; i < 59; i++ {
-		s.Receive(0, address(i), Digest{Zone: zone(i), Routes: 1, Targets: 1})
+		s.Receive(0, address(i), Digest{Zone: zone(i), Routes: 1, Targets: at(1, 1)})
 	}
 	s.countGroups()
 	b.ReportAllocs()
 	for b.Loop() {
-		s.Newer(1, 1, 1)
+		s.Newer(1, 1, at(1, 1))
 		s.ShouldRead(1)
 	}
 }
--- a/internal/registry/position.go
+++ b/internal/registry/position.go
@@ -11,5 +11,10 @@
 	Revision uint64
 }
 
+// After reports whether p is later than q. The revisions of two epochs are not comparable.
+func (p Position) After(q Position) bool {
+	return p.Epoch > q.Epoch || p.Epoch == q.Epoch && p.Revision > q.Revision
+}
+
 // String formats a position as epoch and revision.
 func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Epoch, p.Revision) }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -227,11 +227,11 @@
 	return true
 }
 
-// AcceptTable puts a complete table into force if its revision is higher than the
+// AcceptTable puts a complete table into force if its position is after the
 // current one, and reports whether it did. Targets that disappeared without a drain
 // stay, marked as lapsed, until LapseGrace is over or another target has their address.
 func (r *Registry) AcceptTable(now time.Duration, table Table) bool {
-	if table.Revision <= r.table.Revision {
+	if !table.Position().After(r.table.Position()) {
 		return false
 	}
 	ids := make(map[string]bool, len(table.Targets))
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -234,7 +234,7 @@
 			"report_age", t.ReportAge(now).Round(time.Millisecond))
 	}
 	if view := b.engine.View(); view != nil {
-		fields = append(fields, "version", view.Version, "revision", view.Revision)
+		fields = append(fields, "version", view.Version, "epoch", view.Epoch, "revision", view.Revision)
 	}
 	b.options.Logger.Log(event, fields...)
 }
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -112,7 +112,8 @@
 // handleDigest records the digest of another balancer.
 func (b *Balancer) handleDigest(m *schema.LinkDigest, from netip.AddrPort) {
 	d := peers.Digest{
-		Incarnation: m.Incarnation, Routes: m.RoutesVersion, Targets: m.TargetsRevision, ContactAge: peers.Never,
+		Incarnation: m.Incarnation, Routes: m.RoutesVersion, ContactAge: peers.Never,
+		Targets: registry.Position{Epoch: m.TargetsEpoch, Revision: m.TargetsRevision},
 		Reading: m.Reading, Failing: m.Failing, Leaving: m.Leaving,
 		Serving: m.Serving, Zone: m.Zone, Capacity: m.Capacity,
 	}
@@ -132,7 +133,7 @@
 	fresh := b.peers.Receive(now, from, d)
 	b.mu.Unlock()
 	if fresh {
-		b.options.Logger.Log(telemetry.PeerHeard, "peer", from, "routes", d.Routes, "targets", d.Targets)
+		b.options.Logger.Log(telemetry.PeerHeard, "peer", from, "routes", d.Routes, "epoch", d.Targets.Epoch, "targets", d.Targets.Revision)
 		b.introduce(now, from)
 	}
 	b.pull(now)
@@ -144,7 +145,7 @@
 	if b.registry.Tick(now) {
 		b.publishView(now)
 	}
-	_, behind := b.peers.Newer(now, b.registry.Routes().Version, b.registry.Table().Revision)
+	_, behind := b.peers.Newer(now, b.registry.Routes().Version, b.registry.Table().Position())
 	b.confirmed.Store(b.peers.Fresh(now) && !behind)
 	b.divert.Store(b.peers.ShouldDivert(now))
 	due := b.peers.Due(now, false)
@@ -240,7 +241,7 @@
 		return
 	}
 	b.mu.Lock()
-	d := b.peers.Digest(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Revision)
+	d := b.peers.Digest(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
 	b.mu.Unlock()
 	b.out.messages(b.link, digestMessage(d), to)
 }
@@ -248,7 +249,7 @@
 // introduce sends a new peer the state of this balancer and the addresses of its peers.
 func (b *Balancer) introduce(now time.Duration, to netip.AddrPort) {
 	b.mu.Lock()
-	d := b.peers.Introduction(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Revision)
+	d := b.peers.Introduction(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
 	b.mu.Unlock()
 	b.out.message(b.link, digestMessage(d), to)
 }
@@ -256,7 +257,7 @@
 // digestMessage encodes a digest.
 func digestMessage(d peers.Digest) *schema.LinkMessage {
 	m := &schema.LinkDigest{
-		Incarnation: d.Incarnation, RoutesVersion: d.Routes, TargetsRevision: d.Targets,
+		Incarnation: d.Incarnation, RoutesVersion: d.Routes, TargetsEpoch: d.Targets.Epoch, TargetsRevision: d.Targets.Revision,
 		Reading: d.Reading, Failing: d.Failing, Leaving: d.Leaving,
 		Serving: d.Serving, Zone: d.Zone, Capacity: d.Capacity,
 	}
@@ -301,6 +302,7 @@
 	changes := registry.Difference(current, table)
 	accepted := b.registry.AcceptTable(now, table)
 	if accepted {
+		b.peers.EnterEpoch(table.Epoch)
 		b.publishView(now)
 	}
 	b.mu.Unlock()
@@ -318,7 +320,7 @@
 	b.pingUnreported(now)
 	for _, c := range changes {
 		if b.options.Logger.Allow(telemetry.TargetChanged) {
-			b.options.Logger.Log(telemetry.TargetChanged, "target", c.ID, "change", c.Kind, "revision", table.Revision, "source", source)
+			b.options.Logger.Log(telemetry.TargetChanged, "target", c.ID, "change", c.Kind, "epoch", table.Epoch, "revision", table.Revision, "source", source)
 		}
 	}
 	if len(changes) > 0 {
--- a/internal/segnode/sync.go
+++ b/internal/segnode/sync.go
@@ -27,10 +27,15 @@
 	rpcService = "Balancer"
 )
 
-// Have holds the version of the routes and the revision of the table that a
-// balancer has.
+// Have holds the version of the routes and the epoch and revision of the table that
+// a balancer has.
 type Have struct {
-	Routes, Targets uint64
+	Routes, Epoch, Targets uint64
+}
+
+// table returns the position of the table.
+func (h Have) table() registry.Position {
+	return registry.Position{Epoch: h.Epoch, Revision: h.Targets}
 }
 
 // Knowledge is the newer state that a peer returns. A part that is not newer is
@@ -51,7 +56,7 @@
 	if routes := s.balancer.registry.Routes(); routes.Version > have.Routes {
 		reply.Routes = &routes
 	}
-	if table := s.balancer.registry.TableToSend(s.balancer.clock.now()); table.Revision > have.Targets {
+	if table := s.balancer.registry.TableToSend(s.balancer.clock.now()); table.Position().After(have.table()) {
 		reply.Table = &table
 	}
 	return nil
@@ -96,8 +101,9 @@
 // pull fetches newer state from a peer in the background, one pull at a time.
 func (b *Balancer) pull(now time.Duration) {
 	b.mu.Lock()
-	have := Have{b.registry.Routes().Version, b.registry.Table().Revision}
-	from, found := b.peers.Newer(now, have.Routes, have.Targets)
+	position := b.registry.Table().Position()
+	have := Have{b.registry.Routes().Version, position.Epoch, position.Revision}
+	from, found := b.peers.Newer(now, have.Routes, position)
 	start := found && !b.pulling
 	if start {
 		b.pulling = true
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -166,11 +166,12 @@
 
 // View is an immutable snapshot of the routes and targets.
 type View struct {
-	// Version is the version of the configuration, Revision that of the target table.
-	Version, Revision uint64
-	IdleTimeout       time.Duration
-	routes            map[segment.Endpoint]*registry.Route
-	services          map[string][]*Target
+	// Version is the version of the configuration, Epoch and Revision the position of the
+	// target table.
+	Version, Epoch, Revision uint64
+	IdleTimeout              time.Duration
+	routes                   map[segment.Endpoint]*registry.Route
+	services                 map[string][]*Target
 	// formerServices lists the services that earlier configurations of this process
 	// routed an endpoint to: flows that they opened may still exist.
 	formerServices map[segment.Endpoint][]string
@@ -203,7 +204,7 @@
 // previous view contains keep their state; previous may be nil.
 func NewView(now time.Duration, previous *View, routes registry.Routes, table registry.Table, agentPort uint16) *View {
 	v := &View{
-		Version: routes.Version, Revision: table.Revision, IdleTimeout: routes.IdleTimeout,
+		Version: routes.Version, Epoch: table.Epoch, Revision: table.Revision, IdleTimeout: routes.IdleTimeout,
 		routes:         make(map[segment.Endpoint]*registry.Route, len(routes.Routes)),
 		services:       make(map[string][]*Target),
 		formerServices: make(map[segment.Endpoint][]string),
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -111,7 +111,7 @@
 	RoutesAccepted = Event{Number: 220, Level: log.InfoLevel, Name: "routes_accepted",
 		Message: "routes accepted", Fields: []string{"version", "previous", "routes", "source"}}
 	TargetChanged = Event{Number: 221, Level: log.InfoLevel, Name: "target_changed",
-		Message: "target entry changed", Fields: []string{"target", "change", "revision", "source"}}
+		Message: "target entry changed", Fields: []string{"target", "change", "epoch", "revision", "source"}}
 	EntryUnusable = Event{Number: 222, Level: log.WarnLevel, Name: "entry_unusable",
 		Message: "published entry is unusable; ignoring it", Fields: []string{"key", "error"}}
 	StoreUnreachable = Event{Number: 223, Level: log.WarnLevel, Name: "store_unreachable",
@@ -141,7 +141,7 @@
 // Events of balancers as peers: 310 to 319.
 var (
 	PeerHeard = Event{Number: 310, Level: log.InfoLevel, Name: "peer_heard",
-		Message: "received the first message of a new or returned balancer", Fields: []string{"peer", "routes", "targets"}}
+		Message: "received the first message of a new or returned balancer", Fields: []string{"peer", "routes", "epoch", "targets"}}
 	PeerLost = Event{Number: 311, Level: log.WarnLevel, Name: "peer_lost",
 		Message: "no more messages from a balancer; considering it lost", Fields: []string{"peer"}}
 )
@@ -150,13 +150,13 @@
 var (
 	FlowPlaced = Event{Number: 600, Level: log.InfoLevel, Name: "flow_placed",
 		Message: "opening forwarded to a target",
-		Fields:  []string{"flow", "reason", "copy", "attempt", "target", "targets", "pending", "report_age", "version", "revision"}}
+		Fields:  []string{"flow", "reason", "copy", "attempt", "target", "targets", "pending", "report_age", "version", "epoch", "revision"}}
 	FlowDecided = Event{Number: 601, Level: log.InfoLevel, Name: "flow_decided",
 		Message: "segment handled other than by forwarding it to a known target",
-		Fields:  []string{"flow", "reason", "copy", "attempt", "target", "targets", "pending", "report_age", "version", "revision"}}
+		Fields:  []string{"flow", "reason", "copy", "attempt", "target", "targets", "pending", "report_age", "version", "epoch", "revision"}}
 	FlowReset = Event{Number: 602, Level: log.WarnLevel, Name: "flow_reset",
 		Message: "reset sent to the caller: its flow is lost or cannot open",
-		Fields:  []string{"flow", "reason", "copy", "attempt", "version", "revision"}}
+		Fields:  []string{"flow", "reason", "copy", "attempt", "version", "epoch", "revision"}}
 	FlowFound = Event{Number: 603, Level: log.InfoLevel, Name: "flow_found",
 		Message: "search found the owner of a flow", Fields: []string{"flow", "target", "queries", "waited"}}
 	SegmentRefused = Event{Number: 610, Level: log.InfoLevel, Name: "segment_refused",
