A watch does not go on in the next epoch of the store

Callers could see: a new configuration or target that is never followed. The store continues a watch from a revision that it has given out again, without an error, and what it wrote at lower revisions of the new epoch is missing for good. follow kept the highest revision, which hid that it went back.

A second whole read without a successful watch in between waits for the backoff, so that a store whose watches always end does not get calls in a loop.

--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -99,13 +99,16 @@
 
 // follow reads a whole value and then watches it for changes. It reads the
 // whole value again when the store no longer has the history of the watched
-// revision.
+// revision or was restored.
 func (b *Balancer) follow(ctx context.Context, value string, read func(context.Context) (registry.Position, error),
 	watch func(context.Context, registry.Position) (position registry.Position, changed bool, err error)) {
 	backoff := platform.Backoff{Min: retryMinDelay, Max: retryMaxDelay}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	// position is the zero value while the whole value has to be read.
 	var position registry.Position
+	// watched is set if the last whole read could be continued by a watch. Without it,
+	// reads that end in ErrHistoryLost would follow each other without a delay.
+	watched := true
 	for ctx.Err() == nil {
 		start := b.clock.now()
 		callCtx, cancel := context.WithTimeout(ctx, watchTimeout+readTimeout)
@@ -122,6 +125,7 @@
 			var next registry.Position
 			next, changed, err = watch(callCtx, position)
 			if err == nil {
+				watched = true
 				position.Revision = max(position.Revision, next.Revision)
 			} else if errors.Is(err, ErrHistoryLost) {
 				b.options.Logger.Log(telemetry.HistoryLost, "value", value, "epoch", position.Epoch, "revision", position.Revision)
@@ -130,10 +134,12 @@
 		}
 		cancel()
 		switch {
-		case !b.recordCall(ctx, start, err):
+		case !b.recordCall(ctx, start, err) || errors.Is(err, ErrHistoryLost) && !watched:
 			if !sleep(ctx, backoff.Next(rng)) {
 				return
 			}
+		case errors.Is(err, ErrHistoryLost):
+			watched = false
 		case changed:
 			backoff.Reset()
 			if !sleep(ctx, batchDelay) {
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -52,8 +52,9 @@
 	WatchTargets(ctx context.Context, after registry.Position, timeout time.Duration) ([]registry.Change, registry.Position, error)
 }
 
-// ErrHistoryLost is returned by a watch when the store no longer has the
-// history after the given revision. The whole value has to be read again.
+// ErrHistoryLost is returned when the store no longer has the history after the
+// position of a watch, or when it was restored during a read. The whole value has to
+// be read again.
 var ErrHistoryLost = errors.New("the store no longer has the history of the watched revision")
 
 // Common are the settings that balancers and agents share.
