What a restored copy forgot is kept

Callers could see: new flows at a target that had said that it leaves, at one that had left, or packets at another service, for the seconds until the targets have published again. The copy shows a draining target as ready, one that left as present, and in place of a target its predecessor at the address.

Fix: with the first table of an epoch, a registry retains for 10 s which incarnations drain and which have left or are older than the one known at their address or under their ID; a draining target that the copy lacks lapses like others. Tables sent to peers carry what is retained, for a process that started since. After that the store's entries count again.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -179,6 +179,8 @@
 	// Revision 0 means that no table has been received.
 	Epoch, Revision uint64
 	Targets         []Target
+	// Retained is set in a table from a peer for a time after a restore of the store.
+	Retained *Retained
 }
 
 // Position returns the position of the store up to which the table is complete.
@@ -190,11 +192,16 @@
 	routes  Routes
 	table   Table
 	expires map[string]time.Duration
+	// departures holds the time at which an incarnation was seen to have left.
+	departures map[Incarnation]time.Duration
+	retained   retained
+	// published holds the entries of the table as they arrived while retained is active.
+	published []Target
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{expires: make(map[string]time.Duration)}
+	return &Registry{expires: make(map[string]time.Duration), departures: make(map[Incarnation]time.Duration), retained: newRetained()}
 }
 
 // Routes returns the configuration in force.
@@ -206,7 +213,10 @@
 // TableToSend returns the table in force for another process, which must not use lapsed
 // targets for longer than this one.
 func (r *Registry) TableToSend(now time.Duration) Table {
-	table := Table{Epoch: r.table.Epoch, Revision: r.table.Revision, Targets: slices.Clone(r.table.Targets)}
+	table := Table{
+		Epoch: r.table.Epoch, Revision: r.table.Revision, Targets: slices.Clone(r.table.Targets),
+		Retained: r.retained.toSend(now),
+	}
 	for i := range table.Targets {
 		t := &table.Targets[i]
 		if t.Lapsed {
@@ -230,25 +240,56 @@
 // AcceptTable puts a complete table into force if its position is after the
 // current one, and reports whether it did. Targets that disappeared without a drain
 // stay, marked as lapsed, until LapseGrace is over or another target has their address.
+// The first table of an epoch describes an earlier state of the store: what is known from
+// before takes precedence for RestoreGrace.
 func (r *Registry) AcceptTable(now time.Duration, table Table) bool {
 	if !table.Position().After(r.table.Position()) {
 		return false
 	}
-	ids := make(map[string]bool, len(table.Targets))
-	addresses := make(map[netip.AddrPort]bool, len(table.Targets))
-	targets := make([]Target, 0, len(table.Targets))
-	for _, t := range table.Targets {
+	restored := table.Epoch != r.table.Epoch && r.table.Revision != 0
+	if restored {
+		r.retain(now, table.Targets)
+	}
+	r.retained.adopt(now, table.Retained)
+	incoming := table.Targets
+	r.published = nil
+	if r.retained.active(now) {
+		r.published = slices.DeleteFunc(slices.Clone(incoming), func(t Target) bool { return t.Lapsed })
+		incoming = r.retained.reconcile(incoming)
+	}
+	r.table = Table{Epoch: table.Epoch, Revision: table.Revision, Targets: r.merge(now, incoming, restored)}
+	return true
+}
+
+// merge returns the targets of a table together with the lapsed ones. In the first table of
+// an epoch, restored is set.
+func (r *Registry) merge(now time.Duration, incoming []Target, restored bool) []Target {
+	ids := make(map[string]bool, len(incoming))
+	addresses := make(map[netip.AddrPort]bool, len(incoming))
+	targets := make([]Target, 0, len(incoming))
+	present := make(map[Incarnation]bool, len(incoming))
+	for _, t := range incoming {
 		if t.Lapsed {
 			continue
 		}
 		ids[t.ID] = true
 		addresses[t.Address] = true
+		present[t.Incarnation()] = true
 		targets = append(targets, t)
 		delete(r.expires, t.ID)
+		delete(r.departures, t.Incarnation())
 	}
-	for _, list := range [][]Target{r.table.Targets, table.Targets} {
+	// A draining target that disappears has left, unless the restored copy is from before
+	// its start.
+	left := func(t *Target) bool { return t.Draining && !t.Lapsed && !restored }
+	for _, t := range r.table.Targets {
+		if !present[t.Incarnation()] && (ids[t.ID] || addresses[t.Address] || left(&t)) {
+			r.departures[t.Incarnation()] = now
+		}
+	}
+	for _, list := range [][]Target{r.table.Targets, incoming} {
 		for _, t := range list {
-			if ids[t.ID] || addresses[t.Address] || t.Draining {
+			if ids[t.ID] || addresses[t.Address] || left(&t) {
 				continue
 			}
 			deadline, known := r.expires[t.ID]
@@ -267,15 +308,20 @@
 			targets = append(targets, t)
 		}
 	}
-	r.table = Table{Epoch: table.Epoch, Revision: table.Revision, Targets: targets}
-	return true
+	return targets
 }
 
-// Tick removes lapsed targets whose grace period is over. It reports whether the table
-// changed.
+// Tick removes lapsed targets whose grace period is over, and puts the table into force as
+// it was published when what was retained no longer takes precedence. It reports whether the
+// table changed.
 func (r *Registry) Tick(now time.Duration) bool {
-	var kept []Target
 	changed := false
+	if r.published != nil && !r.retained.active(now) {
+		r.table.Targets = r.merge(now, r.published, false)
+		r.published = nil
+		changed = true
+	}
+	var kept []Target
 	for _, t := range r.table.Targets {
 		if deadline, known := r.expires[t.ID]; t.Lapsed && (!known || now >= deadline) {
 			changed = true
@@ -286,6 +332,11 @@
 	if changed {
 		r.table.Targets = kept
 	}
+	for i, at := range r.departures {
+		if now-at >= departureTTL {
+			delete(r.departures, i)
+		}
+	}
 	for id, end := range r.expires {
 		if now >= end+LapseGrace {
 			delete(r.expires, id)
--- /dev/null
+++ b/internal/registry/restore.go
@@ -0,0 +1,121 @@
+package registry
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// RestoreGrace is the time after a restore of the store for which what is known of an
+	// incarnation takes precedence over its entry. By then live targets have published
+	// their entries again and those of dead ones have expired.
+	RestoreGrace = 10 * time.Second
+	// departureTTL is the time for which the departure of an incarnation is remembered:
+	// longer than the age of the copies from which stores are restored.
+	departureTTL = 30 * time.Second
+)
+
+// Incarnation identifies one incarnation of a target.
+type Incarnation struct {
+	ID string
+	// Born is the start time in Unix milliseconds; 0 if not published.
+	Born int64
+}
+
+// Incarnation returns the incarnation that the entry describes.
+func (t *Target) Incarnation() Incarnation { return Incarnation{t.ID, t.Born} }
+
+// Retained is what is known of targets from before a restore of the store. The entries
+// of the restored copy may be older.
+type Retained struct {
+	// Left is the time for which it takes precedence, when the table was sent.
+	Left time.Duration
+	// Draining incarnations do not become ready again, Departed ones have left.
+	Draining, Departed []Incarnation
+}
+
+// retained is Retained as a process keeps it.
+type retained struct {
+	until              time.Duration
+	draining, departed map[Incarnation]bool
+}
+
+func newRetained() retained {
+	return retained{draining: make(map[Incarnation]bool), departed: make(map[Incarnation]bool)}
+}
+
+func (r *retained) active(now time.Duration) bool { return now < r.until }
+
+// extend makes what is retained take precedence for at least the given time.
+func (r *retained) extend(now, left time.Duration) {
+	if !r.active(now) {
+		*r = newRetained()
+	}
+	r.until = max(r.until, now+left)
+}
+
+// adopt adds what a peer has retained.
+func (r *retained) adopt(now time.Duration, other *Retained) {
+	if other == nil || other.Left <= 0 {
+		return
+	}
+	r.extend(now, min(other.Left, RestoreGrace))
+	for _, i := range other.Draining {
+		r.draining[i] = true
+	}
+	for _, i := range other.Departed {
+		r.departed[i] = true
+	}
+}
+
+// toSend returns what is retained for another process, nil if there is nothing.
+func (r *retained) toSend(now time.Duration) *Retained {
+	if !r.active(now) {
+		return nil
+	}
+	out := &Retained{Left: r.until - now}
+	for i := range r.draining {
+		out.Draining = append(out.Draining, i)
+	}
+	for i := range r.departed {
+		out.Departed = append(out.Departed, i)
+	}
+	return out
+}
+
+// reconcile returns the targets of a table, corrected by what is retained.
+func (r *retained) reconcile(targets []Target) []Target {
+	out := make([]Target, 0, len(targets))
+	for _, t := range targets {
+		if r.departed[t.Incarnation()] {
+			continue
+		}
+		t.Draining = t.Draining || r.draining[t.Incarnation()]
+		out = append(out, t)
+	}
+	return out
+}
+
+// retain records what is known when the first table of the next epoch arrives.
+func (r *Registry) retain(now time.Duration, restored []Target) {
+	r.retained.extend(now, RestoreGrace)
+	byID := make(map[string]int64, len(r.table.Targets))
+	byAddress := make(map[netip.AddrPort]int64, len(r.table.Targets))
+	for _, t := range r.table.Targets {
+		byID[t.ID] = max(byID[t.ID], t.Born)
+		byAddress[t.Address] = max(byAddress[t.Address], t.Born)
+		if t.Draining {
+			r.retained.draining[t.Incarnation()] = true
+		}
+	}
+	for i, at := range r.departures {
+		if now-at < departureTTL {
+			r.retained.departed[i] = true
+		}
+	}
+	for _, t := range restored {
+		if t.Born != 0 && t.Born < max(byID[t.ID], byAddress[t.Address]) {
+			r.retained.departed[t.Incarnation()] = true
+		}
+	}
+}
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -133,10 +133,12 @@
 	r.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{draining(a), draining(gone)}})
 	r.AcceptTable(time.Second, Table{Epoch: 1, Revision: 41, Targets: []Target{draining(a)}})
 	r.AcceptTable(2*time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{a, gone}})
-	for now := 2 * time.Second; now < time.Minute; now += time.Second {
-		r.Tick(now)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a"})
+	changed := false
+	for now := 2 * time.Second; now <= time.Minute; now += time.Second {
+		changed = r.Tick(now) || changed
 	}
-	c.Check(r.AcceptTable(time.Minute, Table{Epoch: 2, Revision: 17, Targets: []Target{a, gone}}), qt.IsTrue)
+	c.Check(changed, qt.IsTrue)
 	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a", "c"})
 	c.Check(drains(r.Table()), qt.HasLen, 0)
 }
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -299,13 +299,15 @@
 	now := b.clock.now()
 	b.mu.Lock()
 	current := b.registry.Table()
-	changes := registry.Difference(current, table)
 	accepted := b.registry.AcceptTable(now, table)
+	next := table
 	if accepted {
+		next = b.registry.Table()
 		b.peers.EnterEpoch(table.Epoch)
 		b.publishView(now)
 	}
 	b.mu.Unlock()
+	changes := registry.Difference(current, next)
 	if !accepted {
 		if len(changes) > 0 && b.options.Logger.Allow(telemetry.TableIgnored) {
 			b.options.Logger.Log(telemetry.TableIgnored, "epoch", table.Epoch, "revision", table.Revision,
@@ -315,7 +317,8 @@
 	}
 	if table.Epoch != current.Epoch && current.Revision != 0 {
 		b.options.Logger.Log(telemetry.StoreRestored, "epoch", table.Epoch, "revision", table.Revision,
-			"previous_epoch", current.Epoch, "previous_revision", current.Revision, "changes", len(changes), "source", source)
+			"previous_epoch", current.Epoch, "previous_revision", current.Revision, "changes", len(changes),
+			"overruled", len(registry.Difference(table, next)), "source", source)
 	}
 	b.pingUnreported(now)
 	for _, c := range changes {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -130,7 +130,7 @@
 		Message: "the store cannot continue the watch; reading the whole value", Fields: []string{"value", "epoch", "revision"}}
 	StoreRestored = Event{Number: 231, Level: log.WarnLevel, Name: "store_restored",
 		Message: "the store was restored from an earlier copy; its table is accepted",
-		Fields:  []string{"epoch", "revision", "previous_epoch", "previous_revision", "changes", "source"}}
+		Fields:  []string{"epoch", "revision", "previous_epoch", "previous_revision", "changes", "overruled", "source"}}
 	TableIgnored = Event{Number: 232, Level: log.WarnLevel, Name: "table_ignored",
 		Message: "table of targets differs but is not newer; ignoring it",
 		Fields:  []string{"epoch", "revision", "current_epoch", "current_revision", "changes", "source"}, Limited: true}
