A balancer that starts after a restore learns what the copy lost

Callers could see: new flows at a draining target, and resets of flows whose target the copy does not have, through a balancer that was started, rolled or added in the seconds after a restore. It reads the copy itself, so that its table is as new as those of its peers, and never pulls what they retain.

Fix: digests say that a balancer retains what it knows from before a restore; one that does not asks such a peer of the same epoch for its table and adds what is retained and what has lapsed (233). Peers that answer nothing of use are asked again after their next digest only.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -70,6 +70,9 @@
 	Failing bool
 	// Leaving is set while it is stopping.
 	Leaving bool
+	// Retaining is set while what it knows from before a restore of the store takes
+	// precedence over the store's entries.
+	Retaining bool
 	// Serving is set if it has routes and targets.
 	Serving bool
 	// Zone is its availability zone.
@@ -373,6 +376,24 @@
 	return best, found
 }
 
+// Retainer returns a live peer that knows what a restore of the store in the given epoch
+// has lost, if there is one.
+func (s *Set) Retainer(now time.Duration, epoch uint64) (netip.AddrPort, bool) {
+	for address, p := range s.peers {
+		if p.digest.Retaining && p.digest.Targets.Epoch == epoch && s.live(now, p) {
+			return address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// Learned records that this balancer has what a peer retains.
+func (s *Set) Learned(from netip.AddrPort) {
+	if p := s.peers[from]; p != nil {
+		p.digest.Retaining = false
+	}
+}
+
 // readerRank orders the balancers for reading. The hash spreads the load of
 // reading, which the order of addresses would put on the lowest ones.
 func readerRank(a netip.AddrPort) uint64 {
@@ -432,7 +453,7 @@
 // PullFailed drops the versions that a peer sent, until its next digest.
 func (s *Set) PullFailed(from netip.AddrPort) {
 	if p := s.peers[from]; p != nil {
-		p.digest.Routes, p.digest.Targets = 0, registry.Position{}
+		p.digest.Routes, p.digest.Targets, p.digest.Retaining = 0, registry.Position{}, false
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -268,6 +268,24 @@
 	c.Check(found, qt.IsFalse)
 }
 
+// Guards against a balancer that does not find the peers that know what a restored store has lost, and
+// against one that asks the same peer again and again.
+func TestRetainer(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	s.Receive(0, address(1), Digest{Targets: at(2, 9)})
+	s.Receive(0, address(2), Digest{Targets: at(1, 9), Retaining: true})
+	_, found := s.Retainer(0, 2)
+	c.Check(found, qt.IsFalse)
+	s.Receive(0, address(3), Digest{Targets: at(2, 9), Retaining: true})
+	from, found := s.Retainer(0, 2)
+	c.Check(found, qt.IsTrue)
+	c.Check(from, qt.Equals, address(3))
+	s.Learned(from)
+	_, found = s.Retainer(0, 2)
+	c.Check(found, qt.IsFalse)
+}
+
 // Guards against a table that counts as confirmed, and against a fleet without a reader, because of
 // what a peer says that has not noticed that the store was restored.
 func TestOutdatedPeerConfirmsNothing(t *testing.T) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -254,7 +254,7 @@
 	incoming := table.Targets
 	r.published = nil
 	if r.retained.active(now) {
-		r.published = slices.DeleteFunc(slices.Clone(incoming), func(t Target) bool { return t.Lapsed })
+		r.published = withoutLapsed(incoming)
 		incoming = r.retained.reconcile(incoming)
 	}
 	r.table = Table{Epoch: table.Epoch, Revision: table.Revision, Targets: r.merge(now, incoming, restored)}
@@ -281,7 +281,9 @@
 	}
 	// A draining target that disappears has left, unless the restored copy is from before
 	// its start.
-	left := func(t *Target) bool { return t.Draining && !t.Lapsed && !restored }
+	left := func(t *Target) bool {
+		return t.Draining && !t.Lapsed && !restored || r.retained.active(now) && r.retained.departed[t.Incarnation()]
+	}
 	for _, t := range r.table.Targets {
 		if !present[t.Incarnation()] && (ids[t.ID] || addresses[t.Address] || left(&t)) {
 			r.departures[t.Incarnation()] = now
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -96,6 +97,35 @@
 	return out
 }
 
+// Retaining reports whether what is known from before a restore of the store takes
+// precedence over its entries.
+func (r *Registry) Retaining(now time.Duration) bool { return r.retained.active(now) }
+
+// Learn adds what a peer has retained to a table of the same epoch that was read without
+// that knowledge, and reports whether it did.
+func (r *Registry) Learn(now time.Duration, from Table) bool {
+	if from.Epoch != r.table.Epoch || r.retained.active(now) {
+		return false
+	}
+	r.retained.adopt(now, from.Retained)
+	if !r.retained.active(now) {
+		return false
+	}
+	r.published = withoutLapsed(r.table.Targets)
+	incoming := r.retained.reconcile(r.published)
+	for _, t := range from.Targets {
+		if t.Lapsed {
+			incoming = append(incoming, t)
+		}
+	}
+	r.table.Targets = r.merge(now, incoming, false)
+	return true
+}
+
+func withoutLapsed(targets []Target) []Target {
+	return slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return t.Lapsed })
+}
+
 // retain records what is known when the first table of the next epoch arrives.
 func (r *Registry) retain(now time.Duration, restored []Target) {
 	r.retained.extend(now, RestoreGrace)
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -142,3 +142,32 @@
 	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a", "c"})
 	c.Check(drains(r.Table()), qt.HasLen, 0)
 }
+
+// Guards against a process that starts just after a restore, reads the copy itself and takes a flow
+// for lost because its target is missing there, or uses a target that has left: its table is as new
+// as those of its peers, which know better.
+func TestYoungProcessLearnsFromItsPeers(t *testing.T) {
+	c := qt.New(t)
+	young, peer := New(), New()
+	a, b, gone, recent := born("a", "10.0.0.1:80", 5), born("b", "10.0.0.2:80", 6), born("c", "10.0.0.3:80", 7), born("d", "10.0.0.4:80", 8)
+	peer.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{draining(a), b, draining(gone), recent}})
+	peer.AcceptTable(time.Second, Table{Epoch: 1, Revision: 41, Targets: []Target{draining(a), b, recent}})
+	restored := Table{Epoch: 2, Revision: 16, Targets: []Target{a, b, gone}}
+	peer.AcceptTable(2*time.Second, restored)
+	young.AcceptTable(0, restored)
+	c.Check(young.AcceptTable(0, peer.TableToSend(2*time.Second)), qt.IsFalse)
+	c.Check(young.Retaining(0), qt.IsFalse)
+	c.Check(young.Learn(0, peer.TableToSend(2*time.Second)), qt.IsTrue)
+	c.Check(young.Retaining(0), qt.IsTrue)
+	c.Check(ids(young.Table()), qt.DeepEquals, []string{"a", "b", "d lapsed"})
+	c.Check(drains(young.Table()), qt.DeepEquals, []string{"a"})
+	c.Check(young.Learn(0, peer.TableToSend(2*time.Second)), qt.IsFalse, qt.Commentf("known already"))
+	c.Check(young.AcceptTable(time.Second, Table{Epoch: 2, Revision: 17, Targets: []Target{a, b, gone, recent}}), qt.IsTrue)
+	c.Check(ids(young.Table()), qt.DeepEquals, []string{"a", "b", "d"})
+	c.Check(young.Learn(time.Second, Table{Epoch: 1, Revision: 99, Retained: &Retained{Left: time.Second}}), qt.IsFalse)
+	for now := time.Second; now <= RestoreGrace; now += time.Second {
+		young.Tick(now)
+	}
+	c.Check(young.Retaining(RestoreGrace), qt.IsFalse)
+	c.Check(drains(young.Table()), qt.HasLen, 0)
+}
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -115,7 +115,7 @@
 		Incarnation: m.Incarnation, Routes: m.RoutesVersion, ContactAge: peers.Never,
 		Targets: registry.Position{Epoch: m.TargetsEpoch, Revision: m.TargetsRevision},
 		Reading: m.Reading, Failing: m.Failing, Leaving: m.Leaving,
-		Serving: m.Serving, Zone: m.Zone, Capacity: m.Capacity,
+		Serving: m.Serving, Zone: m.Zone, Capacity: m.Capacity, Retaining: m.Retaining,
 	}
 	if m.ContactAgeMs != nil {
 		d.ContactAge = time.Duration(m.GetContactAgeMs()) * time.Millisecond
@@ -242,6 +242,7 @@
 	}
 	b.mu.Lock()
 	d := b.peers.Digest(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
+	d.Retaining = b.registry.Retaining(now)
 	b.mu.Unlock()
 	b.out.messages(b.link, digestMessage(d), to)
 }
@@ -250,6 +251,7 @@
 func (b *Balancer) introduce(now time.Duration, to netip.AddrPort) {
 	b.mu.Lock()
 	d := b.peers.Introduction(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
+	d.Retaining = b.registry.Retaining(now)
 	b.mu.Unlock()
 	b.out.message(b.link, digestMessage(d), to)
 }
@@ -259,7 +261,7 @@
 	m := &schema.LinkDigest{
 		Incarnation: d.Incarnation, RoutesVersion: d.Routes, TargetsEpoch: d.Targets.Epoch, TargetsRevision: d.Targets.Revision,
 		Reading: d.Reading, Failing: d.Failing, Leaving: d.Leaving,
-		Serving: d.Serving, Zone: d.Zone, Capacity: d.Capacity,
+		Serving: d.Serving, Zone: d.Zone, Capacity: d.Capacity, Retaining: d.Retaining,
 	}
 	if d.ContactAge != peers.Never {
 		age := uint64(d.ContactAge / time.Millisecond)
@@ -331,6 +333,25 @@
 	}
 }
 
+// learn adds what a peer has retained from before a restore of the store.
+func (b *Balancer) learn(from registry.Table, peer netip.AddrPort) {
+	now := b.clock.now()
+	b.mu.Lock()
+	before := b.registry.Table()
+	learned := b.registry.Learn(now, from)
+	b.peers.Learned(peer)
+	if learned {
+		b.publishView(now)
+	}
+	after := b.registry.Table()
+	b.mu.Unlock()
+	if learned {
+		b.pingUnreported(now)
+		b.options.Logger.Log(telemetry.RestoreLearned, "epoch", after.Epoch, "revision", after.Revision,
+			"overruled", len(registry.Difference(before, after)), "source", peer)
+	}
+}
+
 // announce sends a digest to peers at once because the state of this balancer
 // changed.
 func (b *Balancer) announce(now time.Duration) {
--- a/internal/segnode/sync.go
+++ b/internal/segnode/sync.go
@@ -31,6 +31,9 @@
 // a balancer has.
 type Have struct {
 	Routes, Epoch, Targets uint64
+	// Learning asks for the table although it is not newer, because it holds what the
+	// peer has retained.
+	Learning bool
 }
 
 // table returns the position of the table.
@@ -49,14 +52,14 @@
 type syncService struct{ balancer *Balancer }
 
 // Pull returns the parts of the state of this balancer that are newer than
-// have.
+// have, or asked for.
 func (s *syncService) Pull(have Have, reply *Knowledge) error {
 	s.balancer.mu.Lock()
 	defer s.balancer.mu.Unlock()
 	if routes := s.balancer.registry.Routes(); routes.Version > have.Routes {
 		reply.Routes = &routes
 	}
-	if table := s.balancer.registry.TableToSend(s.balancer.clock.now()); table.Position().After(have.table()) {
+	if table := s.balancer.registry.TableToSend(s.balancer.clock.now()); have.Learning || table.Position().After(have.table()) {
 		reply.Table = &table
 	}
 	return nil
@@ -102,8 +105,12 @@
 func (b *Balancer) pull(now time.Duration) {
 	b.mu.Lock()
 	position := b.registry.Table().Position()
-	have := Have{b.registry.Routes().Version, position.Epoch, position.Revision}
+	have := Have{Routes: b.registry.Routes().Version, Epoch: position.Epoch, Targets: position.Revision}
 	from, found := b.peers.Newer(now, have.Routes, position)
+	if !found && !b.registry.Retaining(now) {
+		from, found = b.peers.Retainer(now, position.Epoch)
+		have.Learning = found
+	}
 	start := found && !b.pulling
 	if start {
 		b.pulling = true
@@ -144,7 +151,12 @@
 	if newer.Routes != nil {
 		b.acceptRoutes(*newer.Routes, peer.String())
 	}
-	if newer.Table != nil {
+	if newer.Table == nil {
+		return nil
+	}
+	if have.Learning {
+		b.learn(*newer.Table, peer)
+	} else {
 		b.acceptTable(*newer.Table, peer.String())
 	}
 	return nil
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -134,6 +134,9 @@
 	TableIgnored = Event{Number: 232, Level: log.WarnLevel, Name: "table_ignored",
 		Message: "table of targets differs but is not newer; ignoring it",
 		Fields:  []string{"epoch", "revision", "current_epoch", "current_revision", "changes", "source"}, Limited: true}
+	RestoreLearned = Event{Number: 233, Level: log.InfoLevel, Name: "restore_learned",
+		Message: "a peer knows what the restored store has lost; using it",
+		Fields:  []string{"epoch", "revision", "overruled", "source"}}
 	RoutesUnusable = Event{Number: 228, Level: log.ErrorLevel, Name: "routes_unusable",
 		Message: "published configuration cannot be read; the last one stays in force", Fields: []string{"key", "error"}}
 )
@@ -187,7 +190,7 @@
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed, RoutesUnusable,
-		StoreRead, HistoryLost, StoreRestored, TableIgnored,
+		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
