--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -27,7 +28,7 @@
 }
 
 // faultKindCount is the number of cases of inject.
-const faultKindCount = 12
+const faultKindCount = 13
 
 // inject starts a fault of the given kind. The selector chooses the process or
 // target, the variant its form; temporary faults end after the duration.
@@ -65,6 +66,10 @@
 		r.logf("store drops its history")
 		r.markStoreDisturbed()
 		r.fleet.store.DropHistory()
+	case 12:
+		r.logf("copy of the store; it is restored from it in %s", duration)
+		c := r.fleet.store.Copy()
+		r.schedule(duration, func() { r.restoreStore(c) })
 	case 7, 8:
 		r.logf("configuration changes")
 		r.configure()
@@ -82,6 +87,29 @@
 	}
 }
 
+// restoreStore restores the store from a copy. The operator and the targets write again what
+// it has lost.
+func (r *run) restoreStore(c standin.Copy) {
+	r.logf("store is restored from its copy")
+	r.markStoreDisturbed()
+	r.fleet.store.Restore(c)
+	r.mu.Lock()
+	standin.PutRoutes(r.fleet.store, r.version, r.addr)
+	started := slices.Clone(r.startedTargets)
+	r.mu.Unlock()
+	for _, t := range r.targets {
+		if current := t.currentTarget(); current != nil {
+			current.Publish()
+		}
+	}
+	// Entries of targets that have ended expire.
+	for _, old := range started {
+		if !slices.ContainsFunc(r.targets, func(t *target) bool { return t.currentTarget() == old }) {
+			old.Unpublish()
+		}
+	}
+}
+
 func (r *run) logf(format string, args ...any) {
 	fmt.Fprintf(r.Out, "  %8s  %s\n", time.Since(r.checker.started).Round(time.Millisecond), fmt.Sprintf(format, args...))
 }
