A target that lapsed for good counts as gone after a restore

Callers could see: openings at a target that had been given up, for up to three reporting intervals after a restore whose copy still has its entry. A target that is cut off from the store but serves would get requests later than its drain timeout after the store said that it is gone.

Cause: only drained and replaced incarnations were remembered as departed, lapsed ones were not. They were left out because a live one would have stayed unused for 10 s.

Fix: all departures are remembered, with the sequence of the last entry; an entry with a higher one was published later and counts at once (TestTargetPublishedAfterItsDepartureIsUsed).

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -104,8 +104,10 @@
 	ID string
 	// Born is the start time of the target's process in Unix milliseconds; 0 if not
 	// published. ID and Born together identify one incarnation.
-	Born    int64
-	Service string
+	Born int64
+	// Sequence counts what the incarnation has published; 0 if not published.
+	Sequence uint64
+	Service  string
 	// Address is the address of the backend server on its host.
 	Address  netip.AddrPort
 	Zone     string
@@ -192,8 +194,8 @@
 	routes  Routes
 	table   Table
 	expires map[string]time.Duration
-	// departures holds the time at which an incarnation was seen to have left.
-	departures map[Incarnation]time.Duration
+	// departures holds the incarnations that have left.
+	departures map[Incarnation]departure
 	retained   retained
 	// published holds the entries of the table as they arrived while retained is active.
 	published []Target
@@ -201,7 +203,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{expires: make(map[string]time.Duration), departures: make(map[Incarnation]time.Duration), retained: newRetained()}
+	return &Registry{expires: make(map[string]time.Duration), departures: make(map[Incarnation]departure), retained: newRetained()}
 }
 
 // Routes returns the configuration in force.
@@ -282,11 +284,11 @@
 	// A draining target that disappears has left, unless the restored copy is from before
 	// its start.
 	left := func(t *Target) bool {
-		return t.Draining && !t.Lapsed && !restored || r.retained.active(now) && r.retained.departed[t.Incarnation()]
+		return t.Draining && !t.Lapsed && !restored || r.retained.active(now) && r.retained.hasDeparted(t)
 	}
 	for _, t := range r.table.Targets {
 		if !present[t.Incarnation()] && (ids[t.ID] || addresses[t.Address] || left(&t)) {
-			r.departures[t.Incarnation()] = now
+			r.depart(now, &t)
 		}
 	}
 	for _, list := range [][]Target{r.table.Targets, incoming} {
@@ -303,6 +305,7 @@
 				r.expires[t.ID] = deadline
 			}
 			if now >= deadline {
+				r.depart(now, &t)
 				continue
 			}
 			t.Lapsed = true
@@ -326,6 +329,7 @@
 	var kept []Target
 	for _, t := range r.table.Targets {
 		if deadline, known := r.expires[t.ID]; t.Lapsed && (!known || now >= deadline) {
+			r.depart(now, &t)
 			changed = true
 			continue
 		}
@@ -334,8 +338,8 @@
 	if changed {
 		r.table.Targets = kept
 	}
-	for i, at := range r.departures {
-		if now-at >= departureTTL {
+	for i, d := range r.departures {
+		if now-d.at >= departureTTL {
 			delete(r.departures, i)
 		}
 	}
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -26,23 +27,39 @@
 // Incarnation returns the incarnation that the entry describes.
 func (t *Target) Incarnation() Incarnation { return Incarnation{t.ID, t.Born} }
 
+// Departure is an incarnation that has left.
+type Departure struct {
+	Incarnation
+	// Sequence is that of its last entry. An entry with a higher one was published later.
+	Sequence uint64
+}
+
+// departure is a Departure as a process keeps it.
+type departure struct {
+	at       time.Duration
+	sequence uint64
+}
+
 // Retained is what is known of targets from before a restore of the store. The entries
 // of the restored copy may be older.
 type Retained struct {
 	// Left is the time for which it takes precedence, when the table was sent.
 	Left time.Duration
-	// Draining incarnations do not become ready again, Departed ones have left.
-	Draining, Departed []Incarnation
+	// Draining incarnations do not become ready again.
+	Draining []Incarnation
+	Departed []Departure
 }
 
 // retained is Retained as a process keeps it.
 type retained struct {
-	until              time.Duration
-	draining, departed map[Incarnation]bool
+	until    time.Duration
+	draining map[Incarnation]bool
+	// departed holds the sequence of the last entry.
+	departed map[Incarnation]uint64
 }
 
 func newRetained() retained {
-	return retained{draining: make(map[Incarnation]bool), departed: make(map[Incarnation]bool)}
+	return retained{draining: make(map[Incarnation]bool), departed: make(map[Incarnation]uint64)}
 }
 
 func (r *retained) active(now time.Duration) bool { return now < r.until }
@@ -64,8 +81,8 @@
 	for _, i := range other.Draining {
 		r.draining[i] = true
 	}
-	for _, i := range other.Departed {
-		r.departed[i] = true
+	for _, d := range other.Departed {
+		r.departed[d.Incarnation] = max(r.departed[d.Incarnation], d.Sequence)
 	}
 }
 
@@ -78,17 +95,23 @@
 	for i := range r.draining {
 		out.Draining = append(out.Draining, i)
 	}
-	for i := range r.departed {
-		out.Departed = append(out.Departed, i)
+	for i, sequence := range r.departed {
+		out.Departed = append(out.Departed, Departure{i, sequence})
 	}
 	return out
 }
 
+// hasDeparted reports whether an entry is from before the departure of its incarnation.
+func (r *retained) hasDeparted(t *Target) bool {
+	sequence, departed := r.departed[t.Incarnation()]
+	return departed && t.Sequence <= sequence
+}
+
 // reconcile returns the targets of a table, corrected by what is retained.
 func (r *retained) reconcile(targets []Target) []Target {
 	out := make([]Target, 0, len(targets))
 	for _, t := range targets {
-		if r.departed[t.Incarnation()] {
+		if r.hasDeparted(&t) {
 			continue
 		}
 		t.Draining = t.Draining || r.draining[t.Incarnation()]
@@ -126,6 +149,11 @@
 	return slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return t.Lapsed })
 }
 
+// depart records that an incarnation has left.
+func (r *Registry) depart(now time.Duration, t *Target) {
+	r.departures[t.Incarnation()] = departure{now, t.Sequence}
+}
+
 // retain records what is known when the first table of the next epoch arrives.
 func (r *Registry) retain(now time.Duration, restored []Target) {
 	r.retained.extend(now, RestoreGrace)
@@ -138,14 +166,14 @@
 			r.retained.draining[t.Incarnation()] = true
 		}
 	}
-	for i, at := range r.departures {
-		if now-at < departureTTL {
-			r.retained.departed[i] = true
+	for i, d := range r.departures {
+		if now-d.at < departureTTL {
+			r.retained.departed[i] = max(r.retained.departed[i], d.sequence)
 		}
 	}
 	for _, t := range restored {
 		if t.Born != 0 && t.Born < max(byID[t.ID], byAddress[t.Address]) {
-			r.retained.departed[t.Incarnation()] = true
+			r.retained.departed[t.Incarnation()] = math.MaxUint64
 		}
 	}
 }
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -93,6 +93,23 @@
 	c.Check(ids(r.Table()), qt.DeepEquals, []string{"new", "b"})
 }
 
+// Guards against a live target that stays unused after a restore because its entry had expired before
+// it: what it has published since counts.
+func TestTargetPublishedAfterItsDepartureIsUsed(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	a := born("a", "10.0.0.1:80", 5)
+	a.Sequence = 7
+	r.AcceptTable(0, Table{Epoch: 1, Revision: 40, Targets: []Target{a}})
+	r.AcceptTable(time.Second, Table{Epoch: 1, Revision: 41})
+	r.Tick(time.Second + LapseGrace)
+	c.Check(r.AcceptTable(4*time.Second, Table{Epoch: 2, Revision: 16, Targets: []Target{a}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.HasLen, 0)
+	a.Sequence = 8
+	c.Check(r.AcceptTable(5*time.Second, Table{Epoch: 2, Revision: 17, Targets: []Target{a}}), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a"})
+}
+
 // Guards against flows that lose their draining target because the copy is from before its start.
 func TestDrainingTargetMissingInTheCopyStays(t *testing.T) {
 	c := qt.New(t)
