A drained target does not come back as lapsed through a peer

Callers could see: openings at a target that had drained and left, for up to 2 s. A peer that had missed the drain took its target for lapsed, and the table that it passed on put it back into use at processes that knew better. Not bound to restores.

Fix: a lapsed target from a peer is left out if its departure is known and its entry is not later.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -293,7 +293,7 @@
 	}
 	for _, list := range [][]Target{r.table.Targets, incoming} {
 		for _, t := range list {
-			if ids[t.ID] || addresses[t.Address] || left(&t) {
+			if ids[t.ID] || addresses[t.Address] || left(&t) || r.hasDeparted(&t) {
 				continue
 			}
 			deadline, known := r.expires[t.ID]
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -149,6 +149,13 @@
 	return slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return t.Lapsed })
 }
 
+// hasDeparted reports whether an entry is from before the departure of its incarnation. A
+// peer that has missed its drain takes it for lapsed.
+func (r *Registry) hasDeparted(t *Target) bool {
+	d, departed := r.departures[t.Incarnation()]
+	return departed && t.Sequence <= d.sequence
+}
+
 // depart records that an incarnation has left.
 func (r *Registry) depart(now time.Duration, t *Target) {
 	r.departures[t.Incarnation()] = departure{now, t.Sequence}
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -93,6 +93,22 @@
 	c.Check(ids(r.Table()), qt.DeepEquals, []string{"new", "b"})
 }
 
+// Guards against a target that drained and left and is used again because a peer that has missed the
+// drain passes it on as lapsed.
+func TestDepartedTargetDoesNotLapseAtAPeer(t *testing.T) {
+	c := qt.New(t)
+	r, peer := New(), New()
+	a, b := born("a", "10.0.0.1:80", 5), born("b", "10.0.0.2:80", 6)
+	for _, process := range []*Registry{r, peer} {
+		process.AcceptTable(0, Table{Epoch: 1, Revision: 1, Targets: []Target{a, b}})
+	}
+	r.AcceptTable(time.Second, Table{Epoch: 1, Revision: 2, Targets: []Target{draining(a), b}})
+	peer.AcceptTable(time.Second, Table{Epoch: 1, Revision: 3, Targets: []Target{b}})
+	c.Check(ids(peer.Table()), qt.DeepEquals, []string{"b", "a lapsed"})
+	c.Check(r.AcceptTable(time.Second, peer.TableToSend(time.Second)), qt.IsTrue)
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"b"})
+}
+
 // Guards against a live target that stays unused after a restore because its entry had expired before
 // it: what it has published since counts.
 func TestTargetPublishedAfterItsDepartureIsUsed(t *testing.T) {
