Entries that a peer passes on are checked like those of the store

Callers could see: openings at an address with port 0, or at a target that hides another one behind a start in the future, after one peer of another build or with damaged state had such an entry. Tables and routes that come by net/rpc were put into force as they came.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -98,6 +98,21 @@
 	IdleTimeout time.Duration
 }
 
+// Usable returns the configuration without the routes that cannot be used, each of which
+// is reported.
+func (r Routes) Usable(report func(Unusable)) Routes {
+	routes := make([]Route, 0, len(r.Routes))
+	for _, route := range r.Routes {
+		if err := route.Validate(); err != nil {
+			report(Unusable{Key: route.Endpoint.String(), Err: err})
+			continue
+		}
+		routes = append(routes, route)
+	}
+	r.Routes = routes
+	return r
+}
+
 // Target is the published entry of a target.
 type Target struct {
 	// ID identifies the registration; a replacement of the target has another one.
@@ -185,6 +200,24 @@
 	Retained *Retained
 }
 
+// Usable returns the table without the entries that cannot be used, each of which is
+// reported. A start in the future is reported and counts as none.
+func (t Table) Usable(now time.Time, report func(Unusable)) Table {
+	targets := make([]Target, 0, len(t.Targets))
+	for _, target := range t.Targets {
+		if err := target.Validate(); err != nil {
+			report(Unusable{Key: target.ID[:min(len(target.ID), maxNameBytes)], Err: err})
+			continue
+		}
+		if err := target.DropFutureBorn(now); err != nil {
+			report(Unusable{Key: target.ID, Err: err})
+		}
+		targets = append(targets, target)
+	}
+	t.Targets = targets
+	return t
+}
+
 // Position returns the position of the store up to which the table is complete.
 func (t Table) Position() Position { return Position{t.Epoch, t.Revision} }
 
--- a/internal/segnode/size_test.go
+++ b/internal/segnode/size_test.go
@@ -16,7 +16,7 @@
 	age := uint64(900)
 	peer := "10.255.255.255:65535"
 	digest := &schema.LinkDigest{Incarnation: 1 << 63, RoutesVersion: 1 << 20, TargetsRevision: 1 << 30, ContactAgeMs: &age,
-		Reading: true, Zone: "zone-name", Capacity: 20000, Serving: true}
+		Reading: true, Zone: "zone-name", Capacity: 20000, Serving: true, TargetsEpoch: 1 << 20, Retaining: true}
 	sizes := map[string]int{
 		"ping": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: &schema.LinkPing{Slots: 100, ServiceTag: 60000, ReportIntervalMs: 2000}}}),
 		"load": proto.Size(&schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: &schema.LinkLoad{ServiceTag: 60000, Pending: 200,
--- a/internal/segnode/sync.go
+++ b/internal/segnode/sync.go
@@ -149,15 +149,16 @@
 		return errors.Wrapf(err, "pull from balancer %s", peer)
 	}
 	if newer.Routes != nil {
-		b.acceptRoutes(*newer.Routes, peer.String())
+		b.acceptRoutes(newer.Routes.Usable(b.recordUnusable), peer.String())
 	}
 	if newer.Table == nil {
 		return nil
 	}
+	table := newer.Table.Usable(time.Now(), b.recordUnusable)
 	if have.Learning {
-		b.learn(*newer.Table, peer)
+		b.learn(table, peer)
 	} else {
-		b.acceptTable(*newer.Table, peer.String())
+		b.acceptTable(table, peer.String())
 	}
 	return nil
 }
