The delay between whole reads grows while no watch can go on

Callers see nothing; the store would get 13 calls a second from the reader if it could never continue a watch. Cause: a successful whole read reset the backoff. Evidence: TestLostHistoryIsNoLoopWithoutDelay counted 802 calls in a minute of a fake clock (at most 240 allowed, twice the calls of a calm reader). Fix: only a successful watch resets it after a lost history.

--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -145,7 +145,7 @@
 			if !sleep(ctx, batchDelay) {
 				return
 			}
-		default:
+		case watched:
 			backoff.Reset()
 		}
 	}
