--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -317,7 +317,7 @@
 	// A draining target that disappears has left, unless the restored copy is from before
 	// its start.
 	left := func(t *Target) bool {
-		return t.Draining && !t.Lapsed && !restored || r.retained.active(now) && r.retained.hasDeparted(t)
+		return t.Draining && !t.Lapsed && !restored || r.retained.active(now) && r.retained.predatesDeparture(t)
 	}
 	for _, t := range r.table.Targets {
 		if !present[t.Incarnation()] && (ids[t.ID] || addresses[t.Address] || left(&t)) {
@@ -326,18 +326,10 @@
 	}
 	for _, list := range [][]Target{r.table.Targets, incoming} {
 		for _, t := range list {
-			if ids[t.ID] || addresses[t.Address] || left(&t) || r.hasDeparted(&t) {
+			if ids[t.ID] || addresses[t.Address] || left(&t) || r.predatesDeparture(&t) {
 				continue
 			}
-			deadline, known := r.expires[t.ID]
-			if !known {
-				deadline = now + LapseGrace
-				if t.Lapsed {
-					deadline = now + min(t.LapseLeft, LapseGrace)
-				}
-				r.expires[t.ID] = deadline
-			}
-			if now >= deadline {
+			if now >= r.lapseDeadline(now, &t) {
 				r.depart(now, &t)
 				continue
 			}
@@ -349,6 +341,20 @@
 	return targets
 }
 
+// lapseDeadline returns the time at which a lapsed target is removed. For a target from a
+// peer it begins with what the peer had left.
+func (r *Registry) lapseDeadline(now time.Duration, t *Target) time.Duration {
+	if deadline, known := r.expires[t.ID]; known {
+		return deadline
+	}
+	grace := LapseGrace
+	if t.Lapsed {
+		grace = min(t.LapseLeft, LapseGrace)
+	}
+	r.expires[t.ID] = now + grace
+	return r.expires[t.ID]
+}
+
 // Tick removes lapsed targets whose grace period is over, and puts the table into force as
 // it was published when what was retained no longer takes precedence. It reports whether the
 // table changed.
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -101,8 +101,8 @@
 	return out
 }
 
-// hasDeparted reports whether an entry is from before the departure of its incarnation.
-func (r *retained) hasDeparted(t *Target) bool {
+// predatesDeparture reports whether an entry is from before the departure of its incarnation.
+func (r *retained) predatesDeparture(t *Target) bool {
 	sequence, departed := r.departed[t.Incarnation()]
 	return departed && t.Sequence <= sequence
 }
@@ -111,7 +111,7 @@
 func (r *retained) reconcile(targets []Target) []Target {
 	out := make([]Target, 0, len(targets))
 	for _, t := range targets {
-		if r.hasDeparted(&t) {
+		if r.predatesDeparture(&t) {
 			continue
 		}
 		t.Draining = t.Draining || r.draining[t.Incarnation()]
@@ -149,9 +149,9 @@
 	return slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return t.Lapsed })
 }
 
-// hasDeparted reports whether an entry is from before the departure of its incarnation. A
+// predatesDeparture reports whether an entry is from before the departure of its incarnation. A
 // peer that has missed its drain takes it for lapsed.
-func (r *Registry) hasDeparted(t *Target) bool {
+func (r *Registry) predatesDeparture(t *Target) bool {
 	d, departed := r.departures[t.Incarnation()]
 	return departed && t.Sequence <= d.sequence
 }
