--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -23,8 +23,15 @@
 	// counts counts lines by kind; violations holds the broken rules.
 	counts     map[string]int
 	violations []string
-	// lastOpening is the time of the last opening that each target took.
+	// openings holds the openings that targets took.
 	openings []openingTaken
+	outcomes []outcome
+}
+
+// outcome is what became of a request on a flow of its own.
+type outcome struct {
+	sentAt time.Duration
+	served bool
 }
 
 type openingTaken struct {
@@ -122,3 +129,24 @@
 	defer r.mu.Unlock()
 	return r.openAt[key]
 }
+
+func (r *record) outcome(sentAt time.Duration, served bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, outcome{sentAt, served})
+}
+
+// share returns how many requests were sent in a span and how many of them were served.
+func (r *record) share(from, to time.Duration) (sent, served int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range r.outcomes {
+		if o.sentAt >= from && o.sentAt < to {
+			sent++
+			if o.served {
+				served++
+			}
+		}
+	}
+	return sent, served
+}
