Agents say which target is on their host; entries alone no longer decide

Cause: a view had one target for each host, that with the latest start, whatever its service. Any writer can publish an entry for any host, but only the agent there knows which target is beside it. The other entry took the target's place, the target counted as replaced, the other agents denied its flows, and the verdict was that nobody holds them.

Ruled out: refusals by the agent (its log has none), a loss of the target's entry from the table (its own entry is unchanged).

Change: targets of one host are kept apart by service and address. Entries of services that the configuration does not name are left out, also in the count of silent targets behind the doubt about the own link. Agents send the tag and hash of their service and the port of their target in reports, positive replies and flow restores; the targets that they do not name are disowned (234). Until an agent has been heard, a host whose entries disagree gets no opening, and its targets hold back the verdict that a flow has no owner.

The fix covers entries of services in use and of the target's own service at another port, in balancers that run, start or take over, because it does not depend on what the entry says.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -94,6 +94,8 @@
 	// Version increases with each configuration; 0 means that none has been received.
 	Version uint64
 	Routes  []Route
+	// Services lists the services that the configuration names; routes may name others.
+	Services []string
 	// IdleTimeout is the time after which an idle flow may be removed.
 	IdleTimeout time.Duration
 }
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -18,6 +18,12 @@
 	hashKey1 = 0x74616c6c7365676d
 )
 
+// SipHash key of the service hash.
+const (
+	serviceKey0 = 0x7365727669636500
+	serviceKey1 = 0x6964656e74697479
+)
+
 // FlowSize is the size of an encoded flow in bytes.
 const FlowSize = 12
 
@@ -170,3 +176,32 @@
 	}
 	return 1
 }
+
+// ServiceHash is a 32-bit hash of a service name, independent of its tag. It is never 0.
+type ServiceHash uint32
+
+// ServiceHashOf returns the hash of a service name.
+func ServiceHashOf(service string) ServiceHash {
+	return ServiceHash(max(uint32(siphash.Hash(serviceKey0, serviceKey1, []byte(service))), 1))
+}
+
+// Identity is what an agent says of the target beside it.
+type Identity struct {
+	Tag Tag
+	// Service is 0 if the agent does not send it.
+	Service ServiceHash
+	// Port is the port at which the target receives segments; 0 if the agent does not
+	// send it.
+	Port uint16
+}
+
+// IdentityOf returns the identity of a target.
+func IdentityOf(service string, port uint16) Identity {
+	return Identity{Tag: TagOf(service), Service: ServiceHashOf(service), Port: port}
+}
+
+// NamesService reports whether both identities are of the same service. The tag decides
+// alone if an agent does not send the hash.
+func (i Identity) NamesService(other Identity) bool {
+	return i.Tag == other.Tag && (i.Service == 0 || other.Service == 0 || i.Service == other.Service)
+}
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -313,12 +313,13 @@
 func (a *Agent) sendOwner(flow segment.Flow, sender uint8) {
 	a.mu.Lock()
 	to := a.balancers[sender].link
+	identity := a.identity()
 	a.mu.Unlock()
 	if !to.IsValid() {
 		return
 	}
 	encoded := flow.Encode()
-	a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: encoded[:]}}}, to)
+	a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: encoded[:], Identity: identity}}}, to)
 }
 
 func (a *Agent) handleControl(b []byte, from netip.AddrPort) {
@@ -347,11 +348,12 @@
 	}
 	a.mu.Lock()
 	holds := a.tracker.Holds(flow)
+	identity := a.identity()
 	negative := m.Deny && !a.tracker.Knows(flow) && a.coverage.Complete(a.clock.now())
 	a.mu.Unlock()
 	switch {
 	case holds:
-		a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: m.Flow}}}, from)
+		a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Owner{Owner: &schema.LinkOwner{Flow: m.Flow, Identity: identity}}}, from)
 	case negative:
 		a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Denial{Denial: &schema.LinkDenial{Flow: m.Flow}}}, from)
 	}
@@ -380,22 +382,30 @@
 	if ping.GetTarget().GetFlowsWanted() {
 		flows = a.tracker.FlowsOf(index, maxRestoredFlows)
 	}
+	identity := a.identity()
 	a.mu.Unlock()
 	if ping.GetTarget().GetFlowsWanted() {
-		a.sendFlows(flows, from)
+		a.sendFlows(flows, identity, from)
 	}
 }
 
+// identity returns what the settings of the agent say of its target. The caller must hold
+// a.mu.
+func (a *Agent) identity() *schema.LinkIdentity {
+	i := segment.IdentityOf(a.options.Service, a.backend.Load().Port())
+	return &schema.LinkIdentity{ServiceTag: uint32(i.Tag), ServiceHash: uint32(i.Service), Port: uint32(i.Port)}
+}
+
 // sendFlows sends a restarted balancer the flows that it had forwarded to the
 // target.
-func (a *Agent) sendFlows(flows []segment.Flow, to netip.AddrPort) {
+func (a *Agent) sendFlows(flows []segment.Flow, identity *schema.LinkIdentity, to netip.AddrPort) {
 	if a.options.Logger.Allow(telemetry.FlowsTold) {
 		a.options.Logger.Log(telemetry.FlowsTold, "balancer", to, "flows", len(flows))
 	}
 	for {
 		part := flows[:min(len(flows), flowsPerMessage)]
 		flows = flows[len(part):]
-		message := &schema.LinkFlows{}
+		message := &schema.LinkFlows{Identity: identity}
 		for _, flow := range part {
 			encoded := flow.Encode()
 			message.Flows = append(message.Flows, encoded[:]...)
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -42,8 +42,8 @@
 	if view == nil {
 		return
 	}
-	t := view.TargetOn(from.Addr())
-	if t == nil || uint32(t.Tag) != m.ServiceTag {
+	t := b.identify(view, from.Addr(), m.Identity, m.ServiceTag)
+	if t == nil {
 		return
 	}
 	t.Report(b.clock.now(), steering.Report{
@@ -54,6 +54,26 @@
 	})
 }
 
+// identify returns the target that an agent names, nil if no entry describes it. An agent
+// that sends no identity names its target by the tag of its service, if at all.
+func (b *Balancer) identify(view *steering.View, host netip.Addr, m *schema.LinkIdentity, tag uint32) *steering.Target {
+	identity := segment.Identity{Tag: segment.Tag(tag)}
+	switch {
+	case m != nil:
+		identity = segment.Identity{Tag: segment.Tag(m.ServiceTag), Service: segment.ServiceHash(m.ServiceHash), Port: uint16(m.Port)}
+	case tag == 0:
+		return view.TargetOn(host)
+	}
+	t, disowned := view.Identify(host, identity)
+	for _, other := range disowned {
+		if b.options.Logger.Allow(telemetry.TargetDisowned) {
+			b.options.Logger.Log(telemetry.TargetDisowned, "target", other.Info.ID, "service", other.Info.Service, "address", other.Info.Address,
+				"agent_port", identity.Port, "named", t != nil)
+		}
+	}
+	return t
+}
+
 // handleOwner queues the message that a target holds a flow.
 func (b *Balancer) handleOwner(m *schema.LinkOwner, from netip.AddrPort) {
 	flow, ok := segment.DecodeFlow(m.Flow)
@@ -61,7 +81,7 @@
 	if !ok || view == nil {
 		return
 	}
-	t := view.TargetOn(from.Addr())
+	t := b.identify(view, from.Addr(), m.Identity, 0)
 	if t == nil {
 		return
 	}
@@ -84,7 +104,7 @@
 	if view == nil {
 		return
 	}
-	t := view.TargetOn(from.Addr())
+	t := b.identify(view, from.Addr(), m.Identity, 0)
 	if t == nil || t.FlowsRestored() {
 		return
 	}
@@ -187,7 +207,7 @@
 	if view == nil {
 		return
 	}
-	for _, t := range view.Targets() {
+	for _, t := range view.Pinged() {
 		host := t.Agent.Addr().As4()
 		restored := t.FlowsRestored()
 		if !restored || round.Includes(binary.BigEndian.Uint32(host[:]), t.ReportAge(now)) {
@@ -214,17 +234,24 @@
 }
 
 // sendPing requests reports from the agent of a target, with at most the wanted time
-// between two. Describe adds the published data of the target.
+// between two. Describe adds the published data of the target, unless the agent has yet to
+// say that the target is beside it.
 func (b *Balancer) sendPing(now time.Duration, view *steering.View, t *steering.Target, wanted time.Duration, describe bool) {
-	t.AwaitReports(now, wanted)
-	ping := &schema.LinkPing{Slots: uint32(max(t.Info.Slots, 0)), ServiceTag: uint32(t.Tag), ReportIntervalMs: uint32(wanted / time.Millisecond)}
-	if describe {
-		ping.Target = &schema.LinkTarget{
-			PatienceMs:  uint64(view.AnswerTimeout(t.Info.Service) / time.Millisecond),
-			BornUnixMs:  t.Info.Born,
-			IdleMs:      uint64(view.IdleLimit() / time.Millisecond),
-			FlowsWanted: !t.FlowsRestored(),
+	ping := &schema.LinkPing{ReportIntervalMs: uint32(wanted / time.Millisecond)}
+	switch {
+	case t.Confirmed():
+		t.AwaitReports(now, wanted)
+		ping.Slots, ping.ServiceTag = uint32(max(t.Info.Slots, 0)), uint32(t.Tag)
+		if describe {
+			ping.Target = &schema.LinkTarget{
+				PatienceMs:  uint64(view.AnswerTimeout(t.Info.Service) / time.Millisecond),
+				BornUnixMs:  t.Info.Born,
+				IdleMs:      uint64(view.IdleLimit() / time.Millisecond),
+				FlowsWanted: !t.FlowsRestored(),
+			}
 		}
+	case !t.Disowned():
+		ping.Target = &schema.LinkTarget{FlowsWanted: !t.FlowsRestored()}
 	}
 	b.out.message(b.link, &schema.LinkMessage{Body: &schema.LinkMessage_Ping{Ping: ping}}, b.agentLink(t))
 }
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -17,6 +17,7 @@
 	a.tracker.Tick(now)
 	a.tracker.SetPeriod(segment.RankPeriodAt(time.Now()))
 	load := &schema.LinkLoad{
+		Identity:         a.identity(),
 		ServiceTag:       uint32(a.tracker.Tag()),
 		Pending:          uint32(max(a.tracker.Pending(), 0)),
 		MeanPendingMilli: uint32(a.tracker.Mean(now) * 1000),
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -109,13 +109,13 @@
 // their flows.
 func (e *Engine) nextProbeTargets(s *search, flow segment.Flow, count int) []*Target {
 	return slices.Clone(e.rank(flow, e.view.servicesOf(flow.Service), func(t *Target) bool {
-		return !s.excludes(t) && !slices.Contains(s.probed, t) && (s.stage == probing || !t.load.complete.Load())
+		return t.Confirmed() && !s.excludes(t) && !slices.Contains(s.probed, t) && (s.stage == probing || !t.load.complete.Load())
 	}, count))
 }
 
 // queryTargets returns the first targets whose agents are queried for a flow.
 func (e *Engine) queryTargets(flow segment.Flow, count int) []*Target {
-	return slices.Clone(e.rank(flow, e.view.servicesOf(flow.Service), func(*Target) bool { return true }, count))
+	return slices.Clone(e.rank(flow, e.view.servicesOf(flow.Service), func(t *Target) bool { return !t.Disowned() }, count))
 }
 
 // choose returns the least loaded of the candidates for a new flow, or nil.
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -341,6 +341,9 @@
 	silent, total := 0, 0
 	for _, targets := range e.view.services {
 		for _, t := range targets {
+			if t.Disowned() {
+				continue
+			}
 			total++
 			if t.Silent(now) {
 				silent++
@@ -369,7 +372,7 @@
 	if !known || r.target == nil {
 		return e.search(now, flow)
 	}
-	if r.target.replaced.Load() {
+	if r.target.replaced.Load() || r.target.Disowned() {
 		// The next incarnation at the address may have opened the flow before its entry
 		// arrived here; only its agent knows.
 		e.records.Put(flow, record{openings: r.openings, forgotten: true})
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -298,7 +298,7 @@
 func (e *Engine) allExcluded(s *search, flow segment.Flow) bool {
 	for _, name := range e.view.servicesOf(flow.Service) {
 		for _, t := range e.view.services[name] {
-			if !s.excludes(t) {
+			if !t.Disowned() && !s.excludes(t) {
 				return false
 			}
 		}
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -89,6 +89,9 @@
 	Tag  segment.Tag
 	hash uint64
 	load Load
+	// identity is that of the entry; standing says whether the agent confirms it.
+	identity segment.Identity
+	standing atomic.Uint32
 
 	draining, cold, removed, replaced atomic.Bool
 	// restored is set once the agent has sent the flows that this balancer forwarded
@@ -159,7 +162,9 @@
 func (t *Target) onHost(host netip.Addr) bool { return t != nil && t.Agent.Addr() == host }
 
 // acceptsFlows reports whether the target may get new flows.
-func (t *Target) acceptsFlows() bool { return !t.draining.Load() && !t.removed.Load() }
+func (t *Target) acceptsFlows() bool {
+	return t.Confirmed() && !t.draining.Load() && !t.removed.Load()
+}
 
 // slots returns the number of requests that the target runs concurrently.
 func (t *Target) slots() float64 { return float64(max(t.Info.Slots, 1)) }
@@ -175,12 +180,12 @@
 	// formerServices lists the services that earlier configurations of this process
 	// routed an endpoint to: flows that they opened may still exist.
 	formerServices map[segment.Endpoint][]string
-	byHost         map[netip.Addr]*Target
+	hosts          map[netip.Addr]*host
 	// answerTimeouts is the answer timeout of each service.
 	answerTimeouts map[string]time.Duration
 }
 
-// Targets returns all targets of the view.
+// Targets returns all targets of the view, also those that their agent disowns.
 func (v *View) Targets() []*Target {
 	var out []*Target
 	for _, targets := range v.services {
@@ -197,9 +202,6 @@
 // but at least minIdleLimit.
 func (v *View) IdleLimit() time.Duration { return max(minIdleLimit, v.IdleTimeout) }
 
-// TargetOn returns the target on a host, or nil.
-func (v *View) TargetOn(host netip.Addr) *Target { return v.byHost[host] }
-
 // NewView returns the view of a configuration and a target table. Targets that the
 // previous view contains keep their state; previous may be nil.
 func NewView(now time.Duration, previous *View, routes registry.Routes, table registry.Table, agentPort uint16) *View {
@@ -208,7 +210,7 @@
 		routes:         make(map[segment.Endpoint]*registry.Route, len(routes.Routes)),
 		services:       make(map[string][]*Target),
 		formerServices: make(map[segment.Endpoint][]string),
-		byHost:         make(map[netip.Addr]*Target, len(table.Targets)),
+		hosts:          make(map[netip.Addr]*host, len(table.Targets)),
 		answerTimeouts: make(map[string]time.Duration),
 	}
 	for i := range routes.Routes {
@@ -218,48 +220,86 @@
 			v.answerTimeouts[share.Service] = max(v.answerTimeouts[share.Service], answerTimeout(route))
 		}
 	}
-	known := make(map[netip.Addr]*Target)
+	var known map[netip.Addr]*host
 	if previous != nil {
-		known = previous.byHost
+		known = previous.hosts
 		v.inheritFormerServices(previous)
 	}
-	newest := newestByHost(table)
-	for i := range table.Targets {
-		info := table.Targets[i]
-		host := info.Address.Addr()
-		if newest[host] != i {
-			continue
-		}
-		t := known[host]
+	named := v.namedServices(routes)
+	for _, info := range newestOfEach(table, named) {
+		address := info.Address.Addr()
+		earlier := known[address].targetAt(&info)
+		t := earlier
 		if t == nil || !t.Info.SameIncarnation(&info) {
-			next := newTarget(now, info, agentPort)
+			t = newTarget(now, info, agentPort)
 			// The successor of an incarnation in the previous view needs no
 			// restore: the flows that the agent has recorded are those of the
 			// earlier one.
-			next.restored.Store(t != nil)
-			t = next
+			t.restored.Store(earlier != nil)
 		}
 		t.draining.Store(info.Draining)
 		t.cold.Store(info.Cold)
 		v.services[info.Service] = append(v.services[info.Service], t)
-		v.byHost[host] = t
+		if v.hosts[address] == nil {
+			v.hosts[address] = known[address].next()
+		}
+		v.hosts[address].targets = append(v.hosts[address].targets, t)
+	}
+	for _, h := range v.hosts {
+		h.settle()
 	}
 	v.markRemoved(known)
 	return v
 }
 
-// newestByHost returns the table index of the newest incarnation on each host. The
-// entry of an earlier incarnation stays until it lapses, and no agent reports its load,
-// so that it would look idle and attract the flows of its successor.
-func newestByHost(table registry.Table) map[netip.Addr]int {
-	newest := make(map[netip.Addr]int, len(table.Targets))
+// namedServices returns the services that the configuration or the former services name;
+// nil if no configuration has been received. Entries of others are not those of targets.
+func (v *View) namedServices(routes registry.Routes) map[string]bool {
+	if routes.Version == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for _, name := range routes.Services {
+		named[name] = true
+	}
+	for _, route := range routes.Routes {
+		for _, share := range route.Shares {
+			named[share.Service] = true
+		}
+	}
+	for _, names := range v.formerServices {
+		for _, name := range names {
+			named[name] = true
+		}
+	}
+	return named
+}
+
+// newestOfEach returns the newest incarnation of each service at each address, in the order
+// of the table. The entry of an earlier incarnation stays until it lapses, and no agent
+// reports its load, so that it would look idle and attract the flows of its successor. Of
+// two entries with the same start, one that drains takes precedence.
+func newestOfEach(table registry.Table, named map[string]bool) []registry.Target {
+	type place struct {
+		service string
+		address netip.AddrPort
+	}
+	newest := make(map[place]int, len(table.Targets))
 	for i := range table.Targets {
-		host := table.Targets[i].Address.Addr()
-		if other, taken := newest[host]; !taken || table.Targets[i].Born > table.Targets[other].Born {
-			newest[host] = i
+		t := &table.Targets[i]
+		at := place{t.Service, t.Address}
+		other, taken := newest[at]
+		if !taken || t.Born > table.Targets[other].Born || t.Born == table.Targets[other].Born && t.Draining {
+			newest[at] = i
+		}
+	}
+	out := make([]registry.Target, 0, len(newest))
+	for i, t := range table.Targets {
+		if newest[place{t.Service, t.Address}] == i && (named == nil || named[t.Service]) {
+			out = append(out, t)
 		}
 	}
-	return newest
+	return out
 }
 
 // answerTimeout returns the time after which a request of a route without an answer
@@ -277,21 +317,23 @@
 		Agent: netip.AddrPortFrom(info.Address.Addr(), agentPort),
 		Tag:   segment.TagOf(info.Service),
 		hash:  siphash.Hash(targetKey0, targetKey1, []byte(info.ID)),
+
+		identity: segment.IdentityOf(info.Service, info.Address.Port()),
 	}
 	t.load.lastReport.Store(int64(now))
 	return t
 }
 
 // markRemoved marks the targets that are no longer in the view.
-func (v *View) markRemoved(known map[netip.Addr]*Target) {
-	for host, t := range known {
-		switch current := v.byHost[host]; current {
-		case t:
-		case nil:
-			t.removed.Store(true)
-		default:
+func (v *View) markRemoved(known map[netip.Addr]*host) {
+	for address, before := range known {
+		after := v.hosts[address]
+		for _, t := range before.targets {
+			if after.has(t) {
+				continue
+			}
+			t.replaced.Store(after.hasSuccessor())
 			t.removed.Store(true)
-			t.replaced.Store(true)
 		}
 	}
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -137,6 +137,9 @@
 	RestoreLearned = Event{Number: 233, Level: log.InfoLevel, Name: "restore_learned",
 		Message: "a peer knows what the restored store has lost; using it",
 		Fields:  []string{"epoch", "revision", "overruled", "source"}}
+	TargetDisowned = Event{Number: 234, Level: log.WarnLevel, Name: "target_disowned",
+		Message: "the agent on the host of a target's entry names another target; the entry is not used",
+		Fields:  []string{"target", "service", "address", "agent_port", "named"}, Limited: true}
 	RoutesUnusable = Event{Number: 228, Level: log.ErrorLevel, Name: "routes_unusable",
 		Message: "published configuration cannot be read; the last one stays in force", Fields: []string{"key", "error"}}
 )
@@ -190,7 +193,7 @@
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed, RoutesUnusable,
-		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned,
+		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
