registry: an entry of another service is no successor at its address

The entries of live targets lapse while the store is away; a target whose address an entry of another service names was then removed at once, instead of staying for the 2 s in which its entry comes back, so that its open flows were reset. After a restore of the store, such an entry with a later start made the target count as departed.

Cause: merge and retain compared addresses, and took any entry at the address for the next incarnation of the target.

Evidence: TestEntryOfAnotherServiceIsNoSuccessor failed in both places.

Change: both compare service and address.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -182,6 +182,15 @@
 	return t.ID == other.ID && t.Born == other.Born && t.Address == other.Address && t.Service == other.Service
 }
 
+// place identifies where a target of a service runs. The next incarnation of the target
+// has the same place; an entry of another service at the address says nothing of it.
+type place struct {
+	service string
+	address netip.AddrPort
+}
+
+func (t *Target) place() place { return place{t.Service, t.Address} }
+
 // Unusable describes a published entry, or a part of one, that was left out.
 type Unusable struct {
 	// Key is the key of the entry.
@@ -276,7 +285,8 @@
 
 // AcceptTable puts a complete table into force if its position is after the
 // current one, and reports whether it did. Targets that disappeared without a drain
-// stay, marked as lapsed, until LapseGrace is over or another target has their address.
+// stay, marked as lapsed, until LapseGrace is over or another target of their service has
+// their address.
 // The first table of an epoch describes an earlier state of the store: what is known from
 // before takes precedence for RestoreGrace.
 func (r *Registry) AcceptTable(now time.Duration, table Table) bool {
@@ -302,7 +312,7 @@
 // an epoch, restored is set.
 func (r *Registry) merge(now time.Duration, incoming []Target, restored bool) []Target {
 	ids := make(map[string]bool, len(incoming))
-	addresses := make(map[netip.AddrPort]bool, len(incoming))
+	places := make(map[place]bool, len(incoming))
 	targets := make([]Target, 0, len(incoming))
 	present := make(map[Incarnation]bool, len(incoming))
 	for _, t := range incoming {
@@ -310,7 +320,7 @@
 			continue
 		}
 		ids[t.ID] = true
-		addresses[t.Address] = true
+		places[t.place()] = true
 		present[t.Incarnation()] = true
 		targets = append(targets, t)
 		delete(r.expires, t.ID)
@@ -322,13 +332,13 @@
 		return t.Draining && !t.Lapsed && !restored || r.retained.active(now) && r.retained.predatesDeparture(t)
 	}
 	for _, t := range r.table.Targets {
-		if !present[t.Incarnation()] && (ids[t.ID] || addresses[t.Address] || left(&t)) {
+		if !present[t.Incarnation()] && (ids[t.ID] || places[t.place()] || left(&t)) {
 			r.depart(now, &t)
 		}
 	}
 	for _, list := range [][]Target{r.table.Targets, incoming} {
 		for _, t := range list {
-			if ids[t.ID] || addresses[t.Address] || left(&t) || r.predatesDeparture(&t) {
+			if ids[t.ID] || places[t.place()] || left(&t) || r.predatesDeparture(&t) {
 				continue
 			}
 			if now >= r.lapseDeadline(now, &t) {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -132,3 +132,18 @@
 	c.Check(counts, qt.DeepEquals, map[string]int{"web": 90_000, "trial": 10_000})
 	c.Check((&Route{}).Service(1), qt.Equals, "")
 }
+
+// Guards against a lapsed target that is dropped because an entry of another service names its
+// address, and against one that a restored store hides in this way.
+func TestEntryOfAnotherServiceIsNoSuccessor(t *testing.T) {
+	c := qt.New(t)
+	live, foreign := born("a", "10.0.0.1:80", 5), born("exporter", "10.0.0.1:80", 9)
+	foreign.Service = "exporter"
+	r := New()
+	r.AcceptTable(0, Table{Epoch: 1, Revision: 1, Targets: []Target{live, foreign}})
+	r.AcceptTable(0, Table{Epoch: 1, Revision: 2, Targets: []Target{foreign}})
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"exporter", "a lapsed"})
+	r.AcceptTable(time.Second, Table{Epoch: 1, Revision: 3, Targets: []Target{live, foreign}})
+	r.AcceptTable(time.Second, Table{Epoch: 2, Revision: 1, Targets: []Target{live, foreign}})
+	c.Check(ids(r.Table()), qt.DeepEquals, []string{"a", "exporter"})
+}
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net/netip"
 	"slices"
 	"time"
 )
@@ -165,10 +164,10 @@
 func (r *Registry) retain(now time.Duration, restored []Target) {
 	r.retained.extend(now, RestoreGrace)
 	byID := make(map[string]int64, len(r.table.Targets))
-	byAddress := make(map[netip.AddrPort]int64, len(r.table.Targets))
+	byPlace := make(map[place]int64, len(r.table.Targets))
 	for _, t := range r.table.Targets {
 		byID[t.ID] = max(byID[t.ID], t.Born)
-		byAddress[t.Address] = max(byAddress[t.Address], t.Born)
+		byPlace[t.place()] = max(byPlace[t.place()], t.Born)
 		if t.Draining {
 			r.retained.draining[t.Incarnation()] = true
 		}
@@ -179,7 +178,7 @@
 		}
 	}
 	for _, t := range restored {
-		if t.Born != 0 && t.Born < max(byID[t.ID], byAddress[t.Address]) {
+		if t.Born != 0 && t.Born < max(byID[t.ID], byPlace[t.place()]) {
 			r.retained.departed[t.Incarnation()] = math.MaxUint64
 		}
 	}
