--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -145,6 +145,8 @@
 		return errors.Errorf("id of %d bytes: must have 1 to %d", len(t.ID), maxNameBytes)
 	case t.Slots < 1 || t.Slots > maxSlots:
 		return errors.Errorf("slots %d: must be from 1 to %d", t.Slots, maxSlots)
+	case t.Born < 0:
+		return errors.Errorf("start %d ms: must not be negative", t.Born)
 	case len(t.Zone) > maxNameBytes:
 		return errors.Errorf("zone of %d bytes: must have at most %d", len(t.Zone), maxNameBytes)
 	case !t.Address.Addr().Is4() || !isUnicast(t.Address.Addr()) || t.Address.Port() == 0:
