--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -78,9 +78,13 @@
 	}
 	b.metrics.StoreErrors.Inc()
 	b.peers.StoreFailed()
+	event := telemetry.StoreCallFailed
 	if b.storeReachable {
 		b.storeReachable = false
-		b.options.Logger.Log(telemetry.StoreUnreachable, "waited", (now - start).Round(time.Millisecond), "error", err)
+		event = telemetry.StoreUnreachable
+	}
+	if b.options.Logger.Allow(event) {
+		b.options.Logger.Log(event, "waited", (now - start).Round(time.Millisecond), "error", err)
 	}
 	return false
 }
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -140,6 +140,8 @@
 	TargetDisowned = Event{Number: 234, Level: log.WarnLevel, Name: "target_disowned",
 		Message: "the agent on the host of a target's entry names another target; the entry is not used",
 		Fields:  []string{"target", "service", "address", "agent_port", "named"}, Limited: true}
+	StoreCallFailed = Event{Number: 235, Level: log.InfoLevel, Name: "store_call_failed",
+		Message: "another call to the unreachable store failed", Fields: []string{"waited", "error"}, Limited: true}
 	RoutesUnusable = Event{Number: 228, Level: log.ErrorLevel, Name: "routes_unusable",
 		Message: "published configuration cannot be read; the last one stays in force", Fields: []string{"key", "error"}}
 )
@@ -193,7 +195,7 @@
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed, RoutesUnusable,
-		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned,
+		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned, StoreCallFailed,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
