What ends a call also ends the setup of its connection

Cause: the client of the store may have two connections and had no limit on their setup. net/http goes on with a setup after the call that began it has ended, and counts it as a connection. Two setups that met the silent store blocked all calls until the kernel repeated an opening packet at a moment when the store answered. Every balancer that took over the reading was caught in the same way.

Ruled out: a growing delay between tries (at most 1 s), held back answers (the failing call has no connection).

The soak's router and proxy get limits too.

--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotstall/peridotstall/internal/httptransport"
 	"github.com/peridotstall/peridotstall/internal/offer"
 	"github.com/peridotstall/peridotstall/internal/placement"
 	"github.com/peridotstall/peridotstall/internal/schema"
@@ -42,12 +43,9 @@
 // connection that is used again, a late second copy of a response would be taken for
 // the response to the next request.
 func newBackendClient() *http.Client {
-	dialer := &net.Dialer{Timeout: backendDialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-	}}
+	transport := httptransport.New(0, backendDialTimeout)
+	transport.DisableKeepAlives, transport.DisableCompression = true, true
+	return &http.Client{Transport: transport}
 }
 
 // runOffer executes actions of the request state machine. The caller must hold
--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/peridotstall/peridotstall/internal/httptransport"
 )
 
 const (
@@ -28,7 +30,7 @@
 	if base == "" {
 		return
 	}
-	client := &http.Client{Timeout: healthTimeout}
+	client := &http.Client{Transport: httptransport.New(1, healthTimeout), Timeout: healthTimeout}
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/peridotstall/peridotstall/internal/config"
+	"github.com/peridotstall/peridotstall/internal/httptransport"
 	"github.com/peridotstall/peridotstall/internal/schema"
 )
 
@@ -31,6 +32,8 @@
 	// maxConnections allows for one pending watch each of the index and of the
 	// host list, and one connection for parts.
 	maxConnections = 3
+	// connectTimeout bounds the setup of a connection.
+	connectTimeout = time.Second
 )
 
 var (
@@ -72,7 +75,7 @@
 	if base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
 		return nil, errors.Errorf("configuration service: URL %q, must be an http or https URL with a host", baseURL)
 	}
-	transport := &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections}
+	transport := httptransport.New(maxConnections, connectTimeout)
 	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}, nil
 }
 
--- /dev/null
+++ b/internal/silence/silence.go
@@ -0,0 +1,89 @@
+// Package silence provides an address for tests that does not answer, like one behind a
+// partition: the kernel drops the opening packets of connections to it.
+package silence
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// fillTimeout bounds the time in which the queue fills.
+	fillTimeout = 5 * time.Second
+	// checkTimeout is the time without an answer after which the queue counts as full. The
+	// kernel answers on loopback within microseconds.
+	checkTimeout = 100 * time.Millisecond
+	// answeringBacklog is the length of the queue after Answer.
+	answeringBacklog = 128
+)
+
+// Listener is a TCP listener on loopback that answers no opening packet.
+type Listener struct {
+	*net.TCPListener
+	queued []net.Conn
+}
+
+// Listen returns a listener whose queue of new connections is full.
+func Listen() (*Listener, error) {
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on loopback")
+	}
+	l := &Listener{TCPListener: listener}
+	if err := l.fill(); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// fill connects until the kernel no longer answers.
+func (l *Listener) fill() error {
+	if err := l.setBacklog(0); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fillTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp4", l.Addr().String(), checkTimeout)
+		if err != nil {
+			return nil
+		}
+		l.queued = append(l.queued, conn)
+	}
+	return errors.Errorf("the listener still answers after %d connections", len(l.queued))
+}
+
+// setBacklog sets the length of the kernel's queue of new connections.
+func (l *Listener) setBacklog(length int) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "access the listener")
+	}
+	var backlog error
+	if err := raw.Control(func(fd uintptr) { backlog = syscall.Listen(int(fd), length) }); err != nil {
+		return errors.Wrap(err, "access the listener")
+	}
+	return errors.Wrapf(backlog, "set the backlog to %d", length)
+}
+
+// Answer makes the address answer. The connections that were queued are closed.
+func (l *Listener) Answer() error {
+	for _, conn := range l.queued {
+		conn.Close()
+	}
+	l.queued = nil
+	return l.setBacklog(answeringBacklog)
+}
+
+// Close closes the listener and the connections in its queue.
+func (l *Listener) Close() error {
+	for _, conn := range l.queued {
+		conn.Close()
+	}
+	return l.TCPListener.Close()
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -33,6 +33,9 @@
 // copyDelay is the delay of a read on a delayed connection.
 const copyDelay = 150 * time.Millisecond
 
+// storeDialTimeout bounds the connection setup to the store stand-in on loopback.
+const storeDialTimeout = time.Second
+
 // proxy relays the TCP connections of one process to the store.
 type proxy struct {
 	listener net.Listener
@@ -101,7 +104,7 @@
 	if p.currentMode() == resetting {
 		return
 	}
-	store, err := net.Dial("tcp4", p.target.String())
+	store, err := net.DialTimeout("tcp4", p.target.String(), storeDialTimeout)
 	if err != nil {
 		return
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotstall/peridotstall/internal/httptransport"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/platform/standin"
 )
@@ -36,6 +37,8 @@
 const (
 	// readyTimeout limits the time until all balancers are ready.
 	readyTimeout = 20 * time.Second
+	// routerTimeout limits a readiness check by the router.
+	routerTimeout = time.Second
 	// requestTimeout limits the opening of a flow and each request.
 	requestTimeout = 8 * time.Second
 	// requestCalmWindow is the time without faults before a request after which a
@@ -89,7 +92,7 @@
 // fleet did not start.
 func Run(ctx context.Context, options Options) ([]Violation, error) {
 	r := &run{
-		Options: options, checker: newChecker(), client: &http.Client{Timeout: time.Second},
+		Options: options, checker: newChecker(), client: &http.Client{Transport: httptransport.New(0, routerTimeout), Timeout: routerTimeout},
 		rng: rand.New(rand.NewPCG(options.Seed, 0)), addr: make(map[string]segment.Endpoint),
 		fleet: &fleet{
 			loopbackNet: byte(17 + (os.Getpid()+int(options.Seed))%200), store: standin.NewStore(), router: &standin.Router{},
