A read of many pages goes on while each page arrives in time

Cause: the whole read of the targets had the time limit of one call, 700 ms, however many pages it took, and began anew after it.

TestLargeEntriesDoNotKeepTheListFromABalancer timed out after 20 s. Ruled out: pages above the limit of a response (1 MB against 4 MiB), entries that are believed (they cannot be decoded).

Change: the limit is that of each call.

Left open: such a read counts as contact with the store when it is complete.

--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -18,8 +18,9 @@
 	// an empty one, shows that the store is reachable; the responses to the two
 	// watches alternate every half second.
 	watchTimeout = time.Second
-	// readTimeout bounds a read, and a watch beyond its watchTimeout. A slow
-	// store takes up to 100 times the usual 4 ms.
+	// readTimeout bounds a call to the store, and a watch beyond its watchTimeout. A slow
+	// store takes up to 100 times the usual 4 ms. A read of many pages goes on while each
+	// of them arrives in time.
 	readTimeout = 700 * time.Millisecond
 	// batchDelay is the time between a response with changes and the next watch,
 	// so that one call returns changes in quick succession together.
@@ -115,19 +116,18 @@
 	watched := true
 	for ctx.Err() == nil {
 		start := b.clock.now()
-		callCtx, cancel := context.WithTimeout(ctx, watchTimeout+readTimeout)
 		var err error
 		changed := false
 		if position.Revision == 0 {
-			readCtx, cancelRead := context.WithTimeout(ctx, readTimeout)
-			position, err = read(readCtx)
-			cancelRead()
+			position, err = read(ctx)
 			if err == nil {
 				b.options.Logger.Log(telemetry.StoreRead, "value", value, "epoch", position.Epoch, "revision", position.Revision)
 			}
 		} else {
 			var next registry.Position
-			next, changed, err = watch(callCtx, position)
+			call, cancel := context.WithTimeout(ctx, watchTimeout+readTimeout)
+			next, changed, err = watch(call, position)
+			cancel()
 			if err == nil {
 				watched = true
 				position.Revision = max(position.Revision, next.Revision)
@@ -136,7 +136,6 @@
 				position = registry.Position{}
 			}
 		}
-		cancel()
 		switch {
 		case !b.recordCall(ctx, start, err) || errors.Is(err, ErrHistoryLost) && !watched:
 			if !sleep(ctx, backoff.Next(rng)) {
@@ -173,7 +172,9 @@
 func (b *Balancer) followRoutes(ctx context.Context) {
 	source := b.options.Source
 	b.follow(ctx, "routes", func(ctx context.Context) (registry.Position, error) {
-		routes, position, err := source.Routes(ctx)
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		routes, position, err := source.Routes(call)
 		if err != nil {
 			return registry.Position{}, err
 		}
@@ -200,7 +201,7 @@
 	}
 	var table registry.Table
 	b.follow(ctx, "targets", func(ctx context.Context) (registry.Position, error) {
-		read, err := source.Targets(ctx)
+		read, err := source.Targets(ctx, readTimeout)
 		if err != nil {
 			return registry.Position{}, err
 		}
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -44,8 +44,9 @@
 	// WatchRoutes waits for a configuration published after a position. The
 	// pointer is nil when none that can be read arrived within the timeout.
 	WatchRoutes(ctx context.Context, after registry.Position, timeout time.Duration) (*registry.Routes, registry.Position, error)
-	// Targets returns the complete table.
-	Targets(ctx context.Context) (registry.Table, error)
+	// Targets returns the complete table. It may take several calls to the store, each of
+	// which is given up after the timeout.
+	Targets(ctx context.Context, timeout time.Duration) (registry.Table, error)
 	// WatchTargets waits for changes of targets after a position, for at most
 	// the timeout. It returns them with the position up to which they are
 	// complete.
