A changed address of the store is put into force

Cause: Balancer.Reconfigure applied the seeds only, and 112 settings_reloaded said that the changed settings were in force.

Ruled out: a reload that is ignored (seeds are applied).

Change: the client of the store takes another address for the calls that follow. The limit of a stop is applied too. Settings that need a restart are named in restart_needed of 112.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -160,7 +161,7 @@
 // supervise returns when the process has ended or a signal has stopped it, and
 // applies changed settings to it until then.
 func (r *nodeRunner) supervise(process node, logger *telemetry.DecisionLog, signals <-chan os.Signal, failed <-chan error) error {
-	watcher := &settingsWatcher{path: r.path, agent: r.agent, logger: logger, last: r.content}
+	watcher := &settingsWatcher{path: r.path, agent: r.agent, logger: logger, last: r.content, settings: r.settings}
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
@@ -176,7 +177,7 @@
 				watcher.reload("signal", process)
 				continue
 			}
-			limit := max(r.settings.StopTimeout-stopReserve, 0)
+			limit := max(watcher.settings.StopTimeout-stopReserve, 0)
 			logger.Log(telemetry.StopBegun, "reason", s.String(), "limit", limit)
 			ctx, cancel := context.WithTimeout(context.Background(), limit)
 			cut := process.Stop(ctx)
@@ -197,6 +198,8 @@
 	logger *telemetry.DecisionLog
 	// last is the content that was applied or rejected last.
 	last []byte
+	// settings are those in force.
+	settings platform.Settings
 }
 
 // reload reads the settings file if its content changed and applies the settings.
@@ -222,7 +225,34 @@
 	case *segnode.Agent:
 		p.Reconfigure(settings.Service, settings.Backend)
 	case *segnode.Balancer:
-		p.Reconfigure(settings.Seeds)
+		p.Reconfigure(settings.Seeds, settings.Store)
 	}
-	w.logger.Log(telemetry.SettingsReloaded, "reason", reason)
+	pending := restartNeeded(w.settings, settings)
+	w.settings.Seeds, w.settings.Store, w.settings.StopTimeout = settings.Seeds, settings.Store, settings.StopTimeout
+	w.settings.Service, w.settings.Backend = settings.Service, settings.Backend
+	fields := []any{"reason", reason}
+	if len(pending) > 0 {
+		fields = append(fields, "restart_needed", strings.Join(pending, ","))
+	}
+	w.logger.Log(telemetry.SettingsReloaded, fields...)
+}
+
+// restartNeeded returns the settings that changed and are in force only after a restart.
+func restartNeeded(current, next platform.Settings) []string {
+	var names []string
+	for _, setting := range []struct {
+		name    string
+		changed bool
+	}{
+		{"host", current.Host != next.Host}, {"zone", current.Zone != next.Zone},
+		{"packets", current.Packets != next.Packets}, {"ready", current.Ready != next.Ready},
+		{"control", current.Control != next.Control}, {"outbound", current.Outbound != next.Outbound},
+		{"agent link port", current.AgentLinkPort != next.AgentLinkPort},
+		{"link rate", current.LinkRate != next.LinkRate}, {"cores", current.Cores != next.Cores},
+	} {
+		if setting.changed {
+			names = append(names, setting.name)
+		}
+	}
+	return names
 }
--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -103,6 +103,10 @@
 	c.Assert(standin.WriteSettings(path, host), qt.IsNil)
 	waitFor("a reload without a signal", func() bool { return strings.Contains(out.String(), "settings_reloaded") })
 	c.Assert(process.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	moved := host
+	moved.Zone = "b"
+	c.Assert(standin.WriteSettings(path, moved), qt.IsNil)
+	waitFor("the note on a setting that needs a restart", func() bool { return strings.Contains(out.String(), `"restart_needed":"zone"`) })
 	invalid := host
 	invalid.Zone = ""
 	c.Assert(standin.WriteSettings(path, invalid), qt.IsNil)
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -319,7 +319,8 @@
 }
 
 // Reconfigure applies changed settings.
-func (b *Balancer) Reconfigure(seeds []netip.AddrPort) {
+func (b *Balancer) Reconfigure(seeds []netip.AddrPort, store netip.AddrPort) {
+	b.options.Source.SetAddress(store)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers.SetSeeds(b.clock.now(), seeds)
--- a/internal/segnode/pull_test.go
+++ b/internal/segnode/pull_test.go
@@ -19,6 +19,8 @@
 // silentSource is a store that never responds.
 type silentSource struct{}
 
+func (silentSource) SetAddress(netip.AddrPort) {}
+
 func (silentSource) OnUnusable(func(registry.Unusable)) {}
 
 func (silentSource) Routes(ctx context.Context) (registry.Routes, registry.Position, error) {
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -35,6 +35,8 @@
 
 // Source reads the configuration and the targets from the store.
 type Source interface {
+	// SetAddress sets the address of the store. Calls that have begun end as they would have.
+	SetAddress(address netip.AddrPort)
 	// OnUnusable sets the function that is called for each entry, or part of one, that is
 	// left out because it cannot be used. It is called before the other methods.
 	OnUnusable(report func(registry.Unusable))
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -100,7 +100,7 @@
 
 // SettingsReloaded reports that changed settings took effect.
 var SettingsReloaded = Event{Number: 112, Level: log.InfoLevel, Name: "settings_reloaded",
-	Message: "settings reloaded", Fields: []string{"reason"}}
+	Message: "settings reloaded", Fields: []string{"reason", "restart_needed"}}
 
 // SettingsRejected reports changed settings that are unreadable or invalid.
 var SettingsRejected = Event{Number: 113, Level: log.ErrorLevel, Name: "settings_rejected",
