Entries on the hosts of balancers name no targets

Cause: a target that has never reported is avoided, but not while the balancer doubts its own link, as after a freeze. An entry on its own host then got openings, which arrived at the balancer itself as those of callers.

Change: views leave out entries on the hosts of the balancer and its live peers, whose segment port is the agents' one. A doubt about the own link makes silent targets usable, not those that have never reported.

--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -151,6 +152,9 @@
 	now := b.clock.now()
 	b.mu.Lock()
 	fresh := b.peers.Receive(now, from, d)
+	if view := b.view.Load(); fresh && view != nil && view.HasHost(from.Addr()) {
+		b.publishView(now)
+	}
 	b.mu.Unlock()
 	if fresh {
 		b.options.Logger.Log(telemetry.PeerHeard, "peer", from, "routes", d.Routes, "epoch", d.Targets.Epoch, "targets", d.Targets.Revision)
@@ -193,13 +197,36 @@
 // publishView gives the forwarding task a new view. The caller must hold b.mu.
 func (b *Balancer) publishView(now time.Duration) {
 	routes, table := b.registry.Routes(), b.registry.Table()
-	b.view.Store(steering.NewView(now, b.view.Load(), routes, table, b.options.Packets.Port()))
+	usable := table
+	usable.Targets = withoutBalancers(table.Targets, b.balancerHosts(now))
+	b.view.Store(steering.NewView(now, b.view.Load(), routes, usable, b.options.Packets.Port()))
 	b.metrics.Version.Set(int64(routes.Version))
 	b.metrics.Epoch.Set(int64(table.Epoch))
 	b.metrics.Revision.Set(int64(table.Revision))
 	b.metrics.Targets.Set(int64(len(table.Targets)))
 }
 
+// balancerHosts returns the hosts of this balancer and its live peers. The caller must hold
+// b.mu.
+func (b *Balancer) balancerHosts(now time.Duration) map[netip.Addr]bool {
+	hosts := map[netip.Addr]bool{b.options.Link.Addr(): true}
+	for _, peer := range b.peers.Live(now) {
+		hosts[peer.Addr()] = true
+	}
+	return hosts
+}
+
+// withoutBalancers returns the targets that are not on a balancer's host. Balancers and agents
+// receive segments at the same port, so that a balancer would take segments forwarded to such a
+// target for those of callers, and forward them again.
+func withoutBalancers(targets []registry.Target, balancers map[netip.Addr]bool) []registry.Target {
+	onBalancer := func(t registry.Target) bool { return balancers[t.Address.Addr()] }
+	if !slices.ContainsFunc(targets, onBalancer) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), onBalancer)
+}
+
 // sendPings pings the agents of a round. A ping also describes the target if its agent has
 // not sent a flow restore yet.
 func (b *Balancer) sendPings(now time.Duration, round reports.Round) {
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -142,14 +142,15 @@
 }
 
 // shouldAvoid reports whether a target should get no new flow while other targets can.
-// The agent of a target that has never reported may not have started yet.
+// The agent of a target that has never reported may not have started yet, or there may be
+// none, which a doubt about the own link does not change.
 // An unresponsive target still gets an opening at intervals, because only an opening
 // shows that it has recovered.
 func (e *Engine) shouldAvoid(now time.Duration, t *Target) bool {
 	if t.load.unresponsive.Load() && now-max(t.lastProbe, time.Duration(t.load.unresponsiveSince.Load())) < unresponsiveProbeInterval {
 		return true
 	}
-	return t.load.leaving.Load() || (t.Silent(now) || !t.Reported()) && !e.linkDoubted
+	return t.load.leaving.Load() || !t.Reported() || t.Silent(now) && !e.linkDoubted
 }
 
 // expectsRefusal reports whether the last report of a target says that its agent refuses
--- a/internal/steering/engine_test.go
+++ b/internal/steering/engine_test.go
@@ -428,3 +428,17 @@
 	f.now += time.Millisecond
 	f.c.Check(target.Silent(f.now), qt.IsTrue)
 }
+
+// Guards against openings to an entry without an agent while the balancer doubts its own link,
+// for example after a freeze, when all targets are silent.
+func TestDoubtedLinkDoesNotVouchForAnEntry(t *testing.T) {
+	f := newFixture(t, 4)
+	f.targets = append(f.targets, target(100, "web", "z0"))
+	f.setView(routes(1, "web"), 2)
+	f.now += 2 * ReportTimeout
+	f.engine.Tick(f.now, true)
+	f.c.Assert(f.engine.LinkDoubted(), qt.IsTrue)
+	for i := range 100 {
+		f.c.Assert(f.firstTarget(opening(i, 0)).Info.ID, qt.Not(qt.Equals), "t100")
+	}
+}
--- a/internal/steering/host.go
+++ b/internal/steering/host.go
@@ -116,6 +116,9 @@
 // if entries disagree on it and the agent has not been heard.
 func (v *View) TargetOn(address netip.Addr) *Target { return v.hosts[address].target() }
 
+// HasHost reports whether any entry names a host.
+func (v *View) HasHost(address netip.Addr) bool { return v.hosts[address] != nil }
+
 // Identify records what the agent on a host says of its target. It returns the target, nil
 // if no entry describes it, and the targets that the agent disowns from now on.
 func (v *View) Identify(address netip.Addr, identity segment.Identity) (t *Target, newlyDisowned []*Target) {
