Balancers that start learn lapsed targets from their peers

Cause: targets that are kept beyond their entries are no part of a position of the store. The list that the balancer had read was at the position of its peers, so that it pulled nothing from them, and it took the verdict that nobody holds a flow from that list at once.

Ruled out: a list that is older than that of the peers.

Change: digests announce lapsed targets with the flag for what a restore has lost, and peers without any learn them. The verdict waits for one digest interval after the first list, and for LapseGrace if the balancer's own calls to the store had failed before it.

TestLapsedTargetsAreLearnedFromAPeer needs functions of this change.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -70,8 +70,8 @@
 	Failing bool
 	// Leaving is set while it is stopping.
 	Leaving bool
-	// Retaining is set while what it knows from before a restore of the store takes
-	// precedence over the store's entries.
+	// Retaining is set while it has lapsed targets, or while what it knows from before a
+	// restore of the store takes precedence over the store's entries.
 	Retaining bool
 	// Serving is set if it has routes and targets.
 	Serving bool
@@ -376,8 +376,8 @@
 	return best, found
 }
 
-// Retainer returns a live peer that knows what a restore of the store in the given epoch
-// has lost, if there is one.
+// Retainer returns a live peer in the given epoch that knows what a table read from the store
+// lacks, if there is one.
 func (s *Set) Retainer(now time.Duration, epoch uint64) (netip.AddrPort, bool) {
 	for address, p := range s.peers {
 		if p.digest.Retaining && p.digest.Targets.Epoch == epoch && s.live(now, p) {
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -123,25 +123,34 @@
 // precedence over its entries.
 func (r *Registry) Retaining(now time.Duration) bool { return r.retained.active(now) }
 
-// Learn adds what a peer has retained to a table of the same epoch that was read without
-// that knowledge, and reports whether it did.
+// Teaches reports whether another process that has read the same table may lack what this one
+// knows from before: what it has retained, and lapsed targets.
+func (r *Registry) Teaches(now time.Duration) bool { return r.Retaining(now) || r.hasLapsed() }
+
+func (r *Registry) hasLapsed() bool {
+	return slices.ContainsFunc(r.table.Targets, func(t Target) bool { return t.Lapsed })
+}
+
+// Learn adds what a peer has retained, and its lapsed targets, to a table of the same epoch that
+// was read without that knowledge, and reports whether it did.
 func (r *Registry) Learn(now time.Duration, from Table) bool {
 	if from.Epoch != r.table.Epoch || r.retained.active(now) {
 		return false
 	}
 	r.retained.adopt(now, from.Retained)
-	if !r.retained.active(now) {
-		return false
+	incoming := withoutLapsed(r.table.Targets)
+	if r.retained.active(now) {
+		r.published = incoming
+		incoming = r.retained.reconcile(incoming)
 	}
-	r.published = withoutLapsed(r.table.Targets)
-	incoming := r.retained.reconcile(r.published)
 	for _, t := range from.Targets {
 		if t.Lapsed {
 			incoming = append(incoming, t)
 		}
 	}
+	before := len(r.table.Targets)
 	r.table.Targets = r.merge(now, incoming, false)
-	return true
+	return r.retained.active(now) || len(r.table.Targets) != before
 }
 
 func withoutLapsed(targets []Target) []Target {
--- a/internal/registry/restore_test.go
+++ b/internal/registry/restore_test.go
@@ -204,3 +204,27 @@
 	c.Check(young.Retaining(RestoreGrace), qt.IsFalse)
 	c.Check(drains(young.Table()), qt.HasLen, 0)
 }
+
+// Guards against a balancer that starts as the store comes back and resets open flows, because
+// the entries of their targets have lapsed meanwhile: its peers still know them.
+func TestLapsedTargetsAreLearnedFromAPeer(t *testing.T) {
+	c := qt.New(t)
+	a, b := born("a", "10.0.0.1:80", 5), born("b", "10.0.0.2:80", 6)
+	old, young := New(), New()
+	old.AcceptTable(0, Table{Epoch: 1, Revision: 5, Targets: []Target{a, b}})
+	partial := Table{Epoch: 1, Revision: 9, Targets: []Target{a}}
+	c.Check(old.Teaches(0), qt.IsFalse)
+	old.AcceptTable(time.Second, partial)
+	young.AcceptTable(time.Second, partial)
+	c.Assert(old.Teaches(time.Second), qt.IsTrue)
+	c.Assert(young.Teaches(time.Second), qt.IsFalse)
+	c.Check(young.Learn(time.Second, old.TableToSend(time.Second)), qt.IsTrue)
+	c.Check(ids(young.Table()), qt.DeepEquals, []string{"a", "b lapsed"})
+	c.Check(young.Learn(time.Second, old.TableToSend(time.Second)), qt.IsFalse, qt.Commentf("nothing more to learn"))
+	c.Check(young.Retaining(time.Second), qt.IsFalse)
+	// The time of the peer goes on.
+	c.Check(young.Tick(time.Second+LapseGrace), qt.IsTrue)
+	c.Check(ids(young.Table()), qt.DeepEquals, []string{"a"})
+	c.Check(young.AcceptTable(4*time.Second, Table{Epoch: 1, Revision: 10, Targets: []Target{a, b}}), qt.IsTrue)
+	c.Check(ids(young.Table()), qt.DeepEquals, []string{"a", "b"})
+}
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -110,6 +110,11 @@
 	pulling        bool
 	stopReading    context.CancelFunc
 	storeReachable bool
+	// storeFailed is set once a call to the store has failed.
+	storeFailed bool
+	// partialUntil is the time until which the table may lack live targets: it is the first
+	// one, and the store was away before.
+	partialUntil time.Duration
 
 	tasks
 	ctx    context.Context
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -170,7 +170,7 @@
 		b.publishView(now)
 	}
 	_, behind := b.peers.Newer(now, b.registry.Routes().Version, b.registry.Table().Position())
-	b.confirmed.Store(b.peers.Fresh(now) && !behind)
+	b.confirmed.Store(b.peers.Fresh(now) && !behind && now >= b.partialUntil)
 	b.divert.Store(b.peers.ShouldDivert(now))
 	due := b.peers.Due(now, false)
 	round, pinging := b.pings.Round(now, time.Duration(b.lastPacket.Load()))
@@ -296,7 +296,7 @@
 	}
 	b.mu.Lock()
 	d := b.peers.Digest(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
-	d.Retaining = b.registry.Retaining(now)
+	d.Retaining = b.registry.Teaches(now)
 	b.mu.Unlock()
 	b.out.messages(b.link, digestMessage(d), to)
 }
@@ -305,7 +305,7 @@
 func (b *Balancer) introduce(now time.Duration, to netip.AddrPort) {
 	b.mu.Lock()
 	d := b.peers.Introduction(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
-	d.Retaining = b.registry.Retaining(now)
+	d.Retaining = b.registry.Teaches(now)
 	b.mu.Unlock()
 	b.out.message(b.link, digestMessage(d), to)
 }
@@ -359,6 +359,9 @@
 	next := table
 	if accepted {
 		next = b.registry.Table()
+		if current.Revision == 0 {
+			b.partialUntil = now + b.partialTime()
+		}
 		b.peers.EnterEpoch(table.Epoch)
 		b.publishView(now)
 	}
@@ -387,6 +390,16 @@
 	}
 }
 
+// partialTime returns the time for which the first table may lack live targets. Their entries may
+// have lapsed with the store. If it was away as long as this balancer runs, they come back within
+// LapseGrace; otherwise a peer that has known them longer sends a digest meanwhile.
+func (b *Balancer) partialTime() time.Duration {
+	if b.storeFailed {
+		return registry.LapseGrace
+	}
+	return peers.DigestInterval
+}
+
 // learn adds what a peer has retained from before a restore of the store.
 func (b *Balancer) learn(from registry.Table, peer netip.AddrPort) {
 	now := b.clock.now()
--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -79,6 +79,7 @@
 	}
 	b.metrics.StoreErrors.Inc()
 	b.peers.StoreFailed()
+	b.storeFailed = true
 	event := telemetry.StoreCallFailed
 	if b.storeReachable {
 		b.storeReachable = false
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -135,7 +135,7 @@
 		Message: "table of targets differs but is not newer; ignoring it",
 		Fields:  []string{"epoch", "revision", "current_epoch", "current_revision", "changes", "source"}, Limited: true}
 	RestoreLearned = Event{Number: 233, Level: log.InfoLevel, Name: "restore_learned",
-		Message: "a peer knows what the restored store has lost; using it",
+		Message: "a peer knows targets that the store's table lacks; using them",
 		Fields:  []string{"epoch", "revision", "overruled", "source"}}
 	TargetDisowned = Event{Number: 234, Level: log.WarnLevel, Name: "target_disowned",
 		Message: "the agent on the host of a target's entry names another target; the entry is not used",
