A clock step no longer makes an agent deny flows that its target holds

Cause: an agent decided from two readings of the time of day whether it is older than its target and so has seen all flows.

Change: balancers add for how long they have known the incarnation; a start in the future proves nothing; denials on account of the start begin 0.7 s after the agent's start, and a balancer whose reports are overdue describes the target in its next ping.

The cases of TestCoverage hold unchanged; Update takes the time and a description now.

--- a/internal/occupancy/coverage.go
+++ b/internal/occupancy/coverage.go
@@ -8,6 +8,10 @@
 // this time.
 const startTolerance = 400 * time.Millisecond
 
+// descriptionWait is the time after the start of an agent in which balancers that have known
+// its target for longer say so: two rounds of pings, and a late one.
+const descriptionWait = 700 * time.Millisecond
+
 // Coverage determines whether an agent has seen every flow of its target: it has been
 // running for the whole incarnation of the target, or for longer than a flow can be
 // idle.
@@ -16,9 +20,12 @@
 	// the same time on the host's clock, which the target reads too.
 	started       time.Duration
 	startedUnixMs int64
-	// targetStartUnixMs is the start of the target's incarnation on that clock; 0 if
+	// born is the start of the target's incarnation on that clock in Unix milliseconds; 0 if
 	// unknown.
-	targetStartUnixMs int64
+	born int64
+	// older is set if the incarnation is known to be older than the agent, or if the clock
+	// was stepped since one of both started.
+	older bool
 	// maxIdle is the longest time that a flow may be idle; 0 if unknown.
 	maxIdle time.Duration
 }
@@ -29,14 +36,29 @@
 	return Coverage{started: now, startedUnixMs: unixMs}
 }
 
-// Update records what a balancer reports of the target: the start of its incarnation in
-// Unix milliseconds, and the longest time that a flow may be idle. The newest
-// incarnation takes precedence.
-func (c *Coverage) Update(born int64, idle time.Duration) {
-	c.targetStartUnixMs = max(c.targetStartUnixMs, born)
-	if idle > 0 {
-		c.maxIdle = idle
+// Description is what a balancer says of a target.
+type Description struct {
+	// Born is the start of the target's incarnation in Unix milliseconds.
+	Born int64
+	// Known is the time for which the balancer has known the incarnation.
+	Known time.Duration
+	// MaxIdle is the longest time that a flow may be idle; 0 if unknown.
+	MaxIdle time.Duration
+}
+
+// Update records a description at a time that is also given on the host's clock, in Unix
+// milliseconds. The newest incarnation takes precedence.
+func (c *Coverage) Update(now time.Duration, unixMs int64, d Description) {
+	if d.MaxIdle > 0 {
+		c.maxIdle = d.MaxIdle
+	}
+	if d.Born < c.born {
+		return
+	}
+	if d.Born > c.born {
+		c.born, c.older = d.Born, false
 	}
+	c.older = c.older || d.Known > now-c.started+startTolerance || d.Born > unixMs
 }
 
 // Complete reports whether the agent has seen every flow of its target.
@@ -44,5 +66,5 @@
 	if c.maxIdle > 0 && now-c.started >= c.maxIdle {
 		return true
 	}
-	return c.targetStartUnixMs > 0 && c.targetStartUnixMs >= c.startedUnixMs-startTolerance.Milliseconds()
+	return c.born > 0 && !c.older && now-c.started >= descriptionWait && c.born >= c.startedUnixMs-startTolerance.Milliseconds()
 }
--- a/internal/reports/pings.go
+++ b/internal/reports/pings.go
@@ -56,9 +56,12 @@
 	number, rounds int
 }
 
+// Overdue reports whether the last report of an agent is overdue.
+func (r Round) Overdue(reportAge time.Duration) bool { return reportAge > 2*r.Wanted }
+
 // Includes reports whether the agent of a target is pinged. The host number spreads the
 // agents over the rounds; an agent whose last report is overdue is pinged in each round, so
 // that one that restarts learns of the balancer at once.
 func (r Round) Includes(hostNumber uint32, reportAge time.Duration) bool {
-	return r.all || reportAge > 2*r.Wanted || (uint32(r.number)+hostNumber)%uint32(r.rounds) == 0
+	return r.all || r.Overdue(reportAge) || (uint32(r.number)+hostNumber)%uint32(r.rounds) == 0
 }
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -368,7 +368,10 @@
 		a.tracker.SetSlots(int(ping.Slots))
 		if target := ping.Target; target != nil {
 			a.tracker.SetAnswerTimeout(time.Duration(target.PatienceMs) * time.Millisecond)
-			a.coverage.Update(target.BornUnixMs, time.Duration(target.IdleMs)*time.Millisecond)
+			a.coverage.Update(now, time.Now().UnixMilli(), occupancy.Description{
+				Born: target.BornUnixMs, Known: time.Duration(target.KnownMs) * time.Millisecond,
+				MaxIdle: time.Duration(target.IdleMs) * time.Millisecond,
+			})
 		}
 	}
 	index, known := a.byHost[from.Addr()]
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -228,7 +228,7 @@
 }
 
 // sendPings pings the agents of a round. A ping also describes the target if its agent has
-// not sent a flow restore yet.
+// not sent a flow restore yet, or may have restarted since its last report.
 func (b *Balancer) sendPings(now time.Duration, round reports.Round) {
 	view := b.view.Load()
 	if view == nil {
@@ -236,9 +236,9 @@
 	}
 	for _, t := range view.Pinged() {
 		host := t.Agent.Addr().As4()
-		restored := t.FlowsRestored()
+		restored, overdue := t.FlowsRestored(), round.Overdue(t.ReportAge(now))
 		if !restored || round.Includes(binary.BigEndian.Uint32(host[:]), t.ReportAge(now)) {
-			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored)
+			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored || overdue)
 		}
 	}
 }
@@ -273,6 +273,7 @@
 			ping.Target = &schema.LinkTarget{
 				PatienceMs:  uint64(view.AnswerTimeout(t.Info.Service) / time.Millisecond),
 				BornUnixMs:  t.Info.Born,
+				KnownMs:     uint64(t.Known(now) / time.Millisecond),
 				IdleMs:      uint64(view.IdleLimit() / time.Millisecond),
 				FlowsWanted: !t.FlowsRestored(),
 			}
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -89,6 +89,8 @@
 	Tag  segment.Tag
 	hash uint64
 	load Load
+	// since is the time at which the balancer first saw the incarnation.
+	since time.Duration
 	// identity is that of the entry; standing says whether the agent confirms it.
 	identity segment.Identity
 	standing atomic.Uint32
@@ -151,6 +153,9 @@
 // Pending returns the number of requests that ran or waited at the last report.
 func (t *Target) Pending() uint32 { return t.load.pending.Load() }
 
+// Known returns the time for which the balancer has known the incarnation.
+func (t *Target) Known(now time.Duration) time.Duration { return now - t.since }
+
 // FlowsRestored reports whether the agent has sent the flows that this balancer
 // forwarded before it restarted.
 func (t *Target) FlowsRestored() bool { return t.restored.Load() }
@@ -318,6 +323,7 @@
 		Tag:   segment.TagOf(info.Service),
 		hash:  siphash.Hash(targetKey0, targetKey1, []byte(info.ID)),
 
+		since:    now,
 		identity: segment.IdentityOf(info.Service, info.Address.Port()),
 	}
 	t.load.lastReport.Store(int64(now))
