Soak: connections that are never set up, and entries of another writer

Two kinds of fault more: opening packets of connections to the store are dropped (internal/silence, as in the tests), and entries of another writer name the hosts of targets: of an unnamed service, of the other service, of the same one at another port, incomplete, or 1 MB that cannot be read. They count as no disturbance, so that no check is relaxed for them.

TestProxyModes has the new mode.

--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -1,5 +1,5 @@
-// Package silence provides an address for tests that does not answer, like one behind a
-// partition: the kernel drops the opening packets of connections to it.
+// Package silence makes an address not answer, like one behind a partition: the kernel drops
+// the opening packets of connections to it. It is for tests and stand-ins on loopback.
 package silence
 
 import (
@@ -21,7 +21,8 @@
 	answeringBacklog = 128
 )
 
-// Listener is a TCP listener on loopback that answers no opening packet.
+// Listener is a TCP listener that can stop to answer opening packets. Its methods are not safe
+// for concurrent use.
 type Listener struct {
 	*net.TCPListener
 	queued []net.Conn
@@ -33,16 +34,19 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen on loopback")
 	}
-	l := &Listener{TCPListener: listener}
-	if err := l.fill(); err != nil {
+	l := New(listener)
+	if err := l.Silence(); err != nil {
 		l.Close()
 		return nil, err
 	}
 	return l, nil
 }
 
-// fill connects until the kernel no longer answers.
-func (l *Listener) fill() error {
+// New returns a listener that answers. The caller must not accept connections while it is silent.
+func New(listener *net.TCPListener) *Listener { return &Listener{TCPListener: listener} }
+
+// Silence fills the queue of new connections, until the kernel no longer answers.
+func (l *Listener) Silence() error {
 	if err := l.setBacklog(0); err != nil {
 		return err
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -86,14 +86,20 @@
 	}
 	c.Check(exchange(10*time.Second), qt.IsNil)
 	for _, m := range []mode{silenced, deaf} {
-		p.set(m)
+		c.Assert(p.set(m), qt.IsNil)
 		c.Check(exchange(50*time.Millisecond), qt.ErrorIs, os.ErrDeadlineExceeded, qt.Commentf(modeNames[m]))
 	}
-	p.set(resetting)
+	open, err := net.Dial("tcp4", p.listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer open.Close()
+	c.Assert(p.set(unanswered), qt.IsNil)
+	_, err = net.DialTimeout("tcp4", p.listener.Addr().String(), 50*time.Millisecond)
+	c.Check(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	c.Assert(p.set(resetting), qt.IsNil)
 	c.Check(exchange(10*time.Second), qt.IsNotNil)
-	p.set(delayed)
+	c.Assert(p.set(delayed), qt.IsNil)
 	c.Check(exchange(copyDelay/3), qt.ErrorIs, os.ErrDeadlineExceeded)
-	p.set(passing)
+	c.Assert(p.set(passing), qt.IsNil)
 	c.Check(exchange(10*time.Second), qt.IsNil)
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -28,7 +30,7 @@
 }
 
 // faultKindCount is the number of cases of inject.
-const faultKindCount = 13
+const faultKindCount = 14
 
 // inject starts a fault of the given kind. The selector chooses the process or
 // target, the variant its form; temporary faults end after the duration.
@@ -54,8 +56,8 @@
 		m := mode(1 + variant%(int(modeCount)-1))
 		r.logf("connections of %s to the store are %s for %s", p.host.Name, modeNames[m], duration)
 		p.markDisturbed()
-		p.proxy.set(m)
-		r.schedule(duration, func() { p.markDisturbed(); p.proxy.set(passing) })
+		r.setProxy(p, m)
+		r.schedule(duration, func() { p.markDisturbed(); r.setProxy(p, passing) })
 	case 5:
 		fault := standin.Fault(1 + variant%3)
 		r.logf("store fault %d for %s", fault, duration)
@@ -70,6 +72,8 @@
 		r.logf("copy of the store; it is restored from it in %s", duration)
 		c := r.fleet.store.Copy()
 		r.schedule(duration, func() { r.restoreStore(c) })
+	case 13:
+		r.writeForeignEntry(t, variant, duration)
 	case 7, 8:
 		r.logf("configuration changes")
 		r.configure()
@@ -87,6 +91,41 @@
 	}
 }
 
+// setProxy changes the mode of a process's proxy.
+func (r *run) setProxy(p *process, m mode) {
+	if err := p.proxy.set(m); err != nil {
+		r.checker.check("soak", false, "the proxy of %s does not become %s: %v", p.host.Name, modeNames[m], err)
+	}
+}
+
+// writeForeignEntry writes an entry of another writer for the host of a target, with a later
+// start, and removes it after a time. It disturbs nothing: no check is relaxed for it.
+func (r *run) writeForeignEntry(t *target, variant int, duration time.Duration) {
+	host := t.agent.host
+	address := netip.AddrPortFrom(host.IP, host.Ports.App)
+	otherPort := netip.AddrPortFrom(host.IP, host.Ports.App+1)
+	other := services[(slices.Index(services, t.service)+1)%len(services)]
+	born := time.Now().Add(time.Second).UnixMilli()
+	whole := func(service string, at netip.AddrPort) string {
+		return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"a","version":"v1","capacity":3,"state":"ready","warmup_remaining_ms":0,"sequence":1,"born":%d}`,
+			service, at, born)
+	}
+	entries := []struct{ kind, value string }{
+		{"of an unnamed service", whole("exporter", otherPort)},
+		{"of an unnamed service at its address", whole("exporter", address)},
+		{"of another service", whole(other, otherPort)},
+		{"of another service at its address", whole(other, address)},
+		{"of its service at another port", whole(t.service, otherPort)},
+		{"without some fields", fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"a","capacity":3,"state":"ready","born":%d}`, t.service, address, born)},
+		{"that cannot be read", strings.Repeat("\xff", 1<<20)},
+	}
+	entry := entries[variant%len(entries)]
+	r.logf("entry %s on the host of target %d for %s", entry.kind, t.index, duration)
+	key := fmt.Sprintf("servers/foreign-%d", variant)
+	r.fleet.store.Put(key, []byte(entry.value))
+	r.schedule(duration, func() { r.fleet.store.Delete(key) })
+}
+
 // restoreStore restores the store from a copy. The operator and the targets write again what
 // it has lost.
 func (r *run) restoreStore(c standin.Copy) {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/peridotstall/peridotstall/internal/silence"
 )
 
 // mode is the fault that a proxy applies to its connections.
@@ -23,12 +25,15 @@
 	silenced
 	// deaf connections carry data of the process, but none of the store.
 	deaf
+	// unanswered connections are not set up: opening packets are dropped. Open ones stop
+	// carrying data.
+	unanswered
 	// resetting connections are closed at once, open ones with a TCP reset.
 	resetting
 	modeCount
 )
 
-var modeNames = [modeCount]string{"passing", "delayed", "silenced", "deaf", "resetting"}
+var modeNames = [modeCount]string{"passing", "delayed", "silenced", "deaf", "unanswered", "resetting"}
 
 // copyDelay is the delay of a read on a delayed connection.
 const copyDelay = 150 * time.Millisecond
@@ -38,12 +43,14 @@
 
 // proxy relays the TCP connections of one process to the store.
 type proxy struct {
-	listener net.Listener
+	listener *silence.Listener
 	target   netip.AddrPort
 
 	mu    sync.Mutex
 	mode  mode
 	conns map[net.Conn]bool
+	// answering is closed when the mode is no longer unanswered.
+	answering chan struct{}
 }
 
 func startProxy(address, target netip.AddrPort) (*proxy, error) {
@@ -51,7 +58,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start proxy")
 	}
-	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	p := &proxy{
+		listener: silence.New(listener.(*net.TCPListener)), target: target, conns: make(map[net.Conn]bool), answering: make(chan struct{}),
+	}
+	close(p.answering)
 	go p.accept()
 	return p, nil
 }
@@ -62,17 +72,33 @@
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		answering := p.answering
+		p.mu.Unlock()
+		<-answering
 		go p.relay(conn)
 	}
 }
 
-// set changes the mode. Open connections stay open unless the mode is resetting.
-func (p *proxy) set(m mode) {
+// set changes the mode. Open connections stay open unless the mode is resetting. It returns an
+// error if the listener does not become silent or answer again.
+func (p *proxy) set(m mode) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	previous := p.mode
 	p.mode = m
+	switch {
+	case m == unanswered && previous != unanswered:
+		p.answering = make(chan struct{})
+		return p.listener.Silence()
+	case m != unanswered && previous == unanswered:
+		close(p.answering)
+		if err := p.listener.Answer(); err != nil {
+			return err
+		}
+	}
 	if m != resetting {
-		return
+		return nil
 	}
 	for conn := range p.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -81,6 +107,7 @@
 		}
 		conn.Close()
 	}
+	return nil
 }
 
 func (p *proxy) currentMode() mode {
@@ -125,7 +152,7 @@
 			return
 		}
 		switch m := p.currentMode(); {
-		case m == silenced || m == deaf && fromStore:
+		case m == silenced || m == unanswered || m == deaf && fromStore:
 			// The bytes are dropped, so the peer waits for data that never comes.
 			continue
 		case m == delayed:
@@ -138,6 +165,7 @@
 }
 
 func (p *proxy) close() {
+	// Nothing uses the listener any more, so that it does not matter whether it answers.
+	_ = p.set(resetting)
 	p.listener.Close()
-	p.set(resetting)
 }
