Soak: the proxy stops accepting before its queue is filled

A goroutine that was woken late accepted a connection after the queue had been filled, so that there was room for one more: the proxy now ends a pending accept, waits until it has ended and fills the queue then. A listener counts as silent after a timeout only, not after any error.

--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -54,8 +54,12 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		conn, err := net.DialTimeout("tcp4", l.Addr().String(), checkTimeout)
-		if err != nil {
+		var timeout net.Error
+		switch {
+		case errors.As(err, &timeout) && timeout.Timeout():
 			return nil
+		case err != nil:
+			return errors.Wrap(err, "fill the queue of new connections")
 		}
 		l.queued = append(l.queued, conn)
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -45,12 +46,18 @@
 type proxy struct {
 	listener *silence.Listener
 	target   netip.AddrPort
+	// ended is closed when no more connections are accepted.
+	ended chan struct{}
+
+	// changing is held while the mode changes.
+	changing sync.Mutex
 
 	mu    sync.Mutex
 	mode  mode
 	conns map[net.Conn]bool
-	// answering is closed when the mode is no longer unanswered.
-	answering chan struct{}
+	// answering is closed unless the mode is unanswered; paused is closed once no connection
+	// is accepted in that mode.
+	answering, paused chan struct{}
 }
 
 func startProxy(address, target netip.AddrPort) (*proxy, error) {
@@ -59,7 +66,8 @@
 		return nil, errors.Wrap(err, "start proxy")
 	}
 	p := &proxy{
-		listener: silence.New(listener.(*net.TCPListener)), target: target, conns: make(map[net.Conn]bool), answering: make(chan struct{}),
+		listener: silence.New(listener.(*net.TCPListener)), target: target, conns: make(map[net.Conn]bool),
+		ended: make(chan struct{}), answering: make(chan struct{}), paused: make(chan struct{}),
 	}
 	close(p.answering)
 	go p.accept()
@@ -67,39 +75,87 @@
 }
 
 func (p *proxy) accept() {
+	defer close(p.ended)
 	for {
+		p.waitAnswering()
 		conn, err := p.listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
 		if err != nil {
 			return
 		}
-		p.mu.Lock()
-		answering := p.answering
-		p.mu.Unlock()
-		<-answering
 		go p.relay(conn)
 	}
 }
 
+// waitAnswering waits while the mode is unanswered.
+func (p *proxy) waitAnswering() {
+	p.mu.Lock()
+	answering, paused := p.answering, p.paused
+	p.mu.Unlock()
+	select {
+	case <-answering:
+	default:
+		close(paused)
+		<-answering
+	}
+}
+
 // set changes the mode. Open connections stay open unless the mode is resetting. It returns an
 // error if the listener does not become silent or answer again.
 func (p *proxy) set(m mode) error {
+	p.changing.Lock()
+	defer p.changing.Unlock()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	previous := p.mode
 	p.mode = m
+	p.mu.Unlock()
+	var err error
 	switch {
 	case m == unanswered && previous != unanswered:
-		p.answering = make(chan struct{})
-		return p.listener.Silence()
+		err = p.silence()
 	case m != unanswered && previous == unanswered:
-		close(p.answering)
-		if err := p.listener.Answer(); err != nil {
-			return err
-		}
+		err = p.answer()
+	}
+	if m == resetting {
+		p.resetConnections()
+	}
+	return err
+}
+
+// silence stops accepting, and then fills the queue of new connections.
+func (p *proxy) silence() error {
+	p.mu.Lock()
+	p.answering, p.paused = make(chan struct{}), make(chan struct{})
+	paused := p.paused
+	p.mu.Unlock()
+	if err := p.listener.SetDeadline(time.Now()); err != nil {
+		return errors.Wrap(err, "stop accepting connections")
 	}
-	if m != resetting {
-		return nil
+	select {
+	case <-paused:
+	case <-p.ended:
 	}
+	return p.listener.Silence()
+}
+
+// answer undoes silence.
+func (p *proxy) answer() error {
+	err := p.listener.Answer()
+	if err == nil {
+		err = errors.Wrap(p.listener.SetDeadline(time.Time{}), "accept connections again")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.answering)
+	return err
+}
+
+// resetConnections closes the open connections with a TCP reset.
+func (p *proxy) resetConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for conn := range p.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			// If the option fails, an ordinary close still ends the connection.
@@ -107,7 +163,6 @@
 		}
 		conn.Close()
 	}
-	return nil
 }
 
 func (p *proxy) currentMode() mode {
