--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -123,12 +123,10 @@
 // precedence over its entries.
 func (r *Registry) Retaining(now time.Duration) bool { return r.retained.active(now) }
 
-// Teaches reports whether another process that has read the same table may lack what this one
-// knows from before: what it has retained, and lapsed targets.
-func (r *Registry) Teaches(now time.Duration) bool { return r.Retaining(now) || r.hasLapsed() }
-
-func (r *Registry) hasLapsed() bool {
-	return slices.ContainsFunc(r.table.Targets, func(t Target) bool { return t.Lapsed })
+// KnowsBeyondStore reports whether this process has lapsed targets or has retained anything. A
+// process that has just read the same table from the store lacks both.
+func (r *Registry) KnowsBeyondStore(now time.Duration) bool {
+	return r.Retaining(now) || slices.ContainsFunc(r.table.Targets, func(t Target) bool { return t.Lapsed })
 }
 
 // Learn adds what a peer has retained, and its lapsed targets, to a table of the same epoch that
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -112,8 +112,7 @@
 	storeReachable bool
 	// storeFailed is set once a call to the store has failed.
 	storeFailed bool
-	// partialUntil is the time until which the table may lack live targets: it is the first
-	// one, and the store was away before.
+	// partialUntil is the time until which the first table may lack live targets.
 	partialUntil time.Duration
 
 	tasks
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -297,7 +297,7 @@
 	}
 	b.mu.Lock()
 	d := b.peers.Digest(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
-	d.Retaining = b.registry.Teaches(now)
+	d.Retaining = b.registry.KnowsBeyondStore(now)
 	b.mu.Unlock()
 	b.out.messages(b.link, digestMessage(d), to)
 }
@@ -306,7 +306,7 @@
 func (b *Balancer) introduce(now time.Duration, to netip.AddrPort) {
 	b.mu.Lock()
 	d := b.peers.Introduction(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
-	d.Retaining = b.registry.Teaches(now)
+	d.Retaining = b.registry.KnowsBeyondStore(now)
 	b.mu.Unlock()
 	b.out.message(b.link, digestMessage(d), to)
 }
@@ -392,8 +392,9 @@
 }
 
 // partialTime returns the time for which the first table may lack live targets. Their entries may
-// have lapsed with the store. If it was away as long as this balancer runs, they come back within
-// LapseGrace; otherwise a peer that has known them longer sends a digest meanwhile.
+// have lapsed with the store. After failed calls of this balancer they are back within
+// LapseGrace. Without any, the store may have come back just before the start; a peer that has run
+// for longer then knows the targets, and its digest arrives within DigestInterval.
 func (b *Balancer) partialTime() time.Duration {
 	if b.storeFailed {
 		return registry.LapseGrace
--- a/internal/segnode/sync.go
+++ b/internal/segnode/sync.go
@@ -107,7 +107,7 @@
 	position := b.registry.Table().Position()
 	have := Have{Routes: b.registry.Routes().Version, Epoch: position.Epoch, Targets: position.Revision}
 	from, found := b.peers.Newer(now, have.Routes, position)
-	if !found && !b.registry.Teaches(now) {
+	if !found && !b.registry.KnowsBeyondStore(now) {
 		from, found = b.peers.Retainer(now, position.Epoch)
 		have.Learning = found
 	}
