Only reports that follow a ping carry the whole identity

With the identity each report had 36 bytes in place of 22, and 42 with the values of TestControlMessageSizes, whose bound is 32; that test had no identity in its report and so did not show it. Reports between two pings name the service by its tag alone, as before; a short identity does not replace a fuller one of the same service (TestShortIdentityKeepsTheFullOne).

--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -58,6 +58,8 @@
 type balancerEntry struct {
 	packets, link netip.AddrPort
 	lastUsed      time.Duration
+	// pinged is set until the next report to the balancer, which names the target.
+	pinged bool
 }
 
 // Agent is the process beside a target. It admits or refuses the segments that
@@ -379,7 +381,7 @@
 		index = a.assignIndex(now, from.Addr())
 	}
 	entry := &a.balancers[index]
-	entry.link, entry.lastUsed = from, now
+	entry.link, entry.lastUsed, entry.pinged = from, now, true
 	a.reports.Ping(now, index, time.Duration(ping.ReportIntervalMs)*time.Millisecond)
 	var flows []segment.Flow
 	if ping.GetTarget().GetFlowsWanted() {
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -55,16 +55,16 @@
 	})
 }
 
-// identify returns the target that an agent names, nil if no entry describes it. An agent
-// that sends no identity names its target by the tag of its service, if at all.
+// identify returns the target that an agent names, nil if no entry describes it. Messages
+// without an identity name the target by the tag of its service, if at all.
 func (b *Balancer) identify(view *steering.View, host netip.Addr, m *schema.LinkIdentity, tag uint32) *steering.Target {
-	identity := segment.Identity{Tag: segment.Tag(tag)}
-	switch {
-	case m != nil:
-		identity = segment.Identity{Tag: segment.Tag(m.ServiceTag), Service: segment.ServiceHash(m.ServiceHash), Port: uint16(m.Port)}
-	case tag == 0:
+	if m.GetServiceTag() != 0 {
+		tag = m.GetServiceTag()
+	}
+	if tag == 0 {
 		return view.TargetOn(host)
 	}
+	identity := segment.Identity{Tag: segment.Tag(tag), Service: segment.ServiceHash(m.GetServiceHash()), Port: uint16(m.GetPort())}
 	t, disowned := view.Identify(host, identity)
 	for _, other := range disowned {
 		if b.options.Logger.Allow(telemetry.TargetDisowned) {
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -17,7 +17,6 @@
 	a.tracker.Tick(now)
 	a.tracker.SetPeriod(segment.RankPeriodAt(time.Now()))
 	load := &schema.LinkLoad{
-		Identity:         a.identity(),
 		ServiceTag:       uint32(a.tracker.Tag()),
 		Pending:          uint32(max(a.tracker.Pending(), 0)),
 		MeanPendingMilli: uint32(a.tracker.Mean(now) * 1000),
@@ -29,10 +28,19 @@
 		ExcludedShares:   excludedShares(a.tracker.ExcludedRanks()),
 	}
 	changed := load.Unresponsive != a.loggedUnresponsive
-	var to []netip.AddrPort
+	// Reports that follow a ping name the target, for the balancers in naming.
+	var to, naming []netip.AddrPort
 	for _, index := range a.reports.Due(now, load.Pending, a.urgent || changed) {
-		to = append(to, a.balancers[index].link)
+		balancer := &a.balancers[index]
+		if balancer.pinged {
+			naming = append(naming, balancer.link)
+		} else {
+			to = append(to, balancer.link)
+		}
+		balancer.pinged = false
 	}
+	identity := a.identity()
+	identity.ServiceTag = 0
 	a.urgent = false
 	a.loggedUnresponsive = load.Unresponsive
 	share := a.tracker.Failing(now)
@@ -46,7 +54,10 @@
 	if startedFailing || stoppedFailing {
 		a.options.Logger.Log(telemetry.TargetFailing, "failing", startedFailing, "share", math.Round(share*100)/100, "pending", load.Pending)
 	}
-	a.out.messages(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: load}}, to)
+	message := &schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: load}}
+	a.out.messages(a.link, message, to)
+	load.Identity = identity
+	a.out.messages(a.link, message, naming)
 }
 
 // excludedShares encodes the excluded ranks of a load report: one byte for each
--- a/internal/steering/host.go
+++ b/internal/steering/host.go
@@ -119,14 +119,18 @@
 // HasHost reports whether any entry names a host.
 func (v *View) HasHost(address netip.Addr) bool { return v.hosts[address] != nil }
 
-// Identify records what the agent on a host says of its target. It returns the target, nil
-// if no entry describes it, and the targets that the agent disowns from now on.
+// Identify records what the agent on a host says of its target. An identity without a hash or
+// a port does not replace a fuller one of the same service. It returns the target, nil if no
+// entry describes it, and the targets that the agent disowns from now on.
 func (v *View) Identify(address netip.Addr, identity segment.Identity) (t *Target, newlyDisowned []*Target) {
 	h := v.hosts[address]
 	if h == nil {
 		return nil, nil
 	}
-	if last := h.agent.Load(); last == nil || *last != identity {
+	switch last := h.agent.Load(); {
+	case last != nil && identity.Service == 0 && last.NamesService(identity):
+		identity = *last
+	case last == nil || *last != identity:
 		h.agent.Store(&identity)
 	}
 	t = h.named(identity)
--- a/internal/steering/host_test.go
+++ b/internal/steering/host_test.go
@@ -134,6 +134,21 @@
 	f.c.Check(v.Targets(), qt.HasLen, 0)
 }
 
+// Guards against a report that names less than an earlier one and so undoes it: only reports
+// that follow a ping name the port.
+func TestShortIdentityKeepsTheFullOne(t *testing.T) {
+	f := newFixture(t, 1)
+	f.identify(f.targets[0])
+	owner := f.targetOf(0)
+	f.targets = append(f.targets, otherEntry(f.targets[0], "web", 9100))
+	f.setView(routes(1, "web"), 2)
+	named, newlyDisowned := f.engine.View().Identify(owner.Agent.Addr(), segment.Identity{Tag: segment.TagOf("web")})
+	f.c.Check(named, qt.Equals, owner)
+	f.c.Check(newlyDisowned, qt.HasLen, 0)
+	named, _ = f.engine.View().Identify(owner.Agent.Addr(), segment.Identity{Tag: segment.TagOf("feed")})
+	f.c.Check(named, qt.IsNil, qt.Commentf("another service"))
+}
+
 // Guards against a target that is not used because the address in its entry is not the one at
 // which its agent reaches it.
 func TestEntryWithAnotherPort(t *testing.T) {
