Entries for hosts without an agent raise no doubt about the own link

What callers would have seen: balancers out of rotation, and lost flows without a reset. Targets that have never reported counted as silent, so that entries of a service in use for hosts without an agent, more than the live ones, made every balancer doubt its own link.

Change: targets that have reported to this balancer are counted; all of them only if none has.

--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -338,10 +338,23 @@
 	if e.view == nil {
 		return ended
 	}
-	silent, total := 0, 0
+	silent, total := e.countSilent(now, true)
+	if total == 0 {
+		silent, total = e.countSilent(now, false)
+	}
+	e.silent = silent
+	e.linkDoubted = float64(silent) > linkDoubtShare*float64(total)
+	e.records.Rotate(now, max(minFlowTTL, e.view.IdleTimeout), nil)
+	return ended
+}
+
+// countSilent returns the numbers of silent targets and of all. Targets that have never reported
+// say something of the own link only if no other one has: their entries may name hosts without
+// an agent.
+func (e *Engine) countSilent(now time.Duration, reported bool) (silent, total int) {
 	for _, targets := range e.view.services {
 		for _, t := range targets {
-			if t.Disowned() {
+			if t.Disowned() || reported && !t.Reported() {
 				continue
 			}
 			total++
@@ -350,10 +363,7 @@
 			}
 		}
 	}
-	e.silent = silent
-	e.linkDoubted = float64(silent) > linkDoubtShare*float64(total)
-	e.records.Rotate(now, max(minFlowTTL, e.view.IdleTimeout), nil)
-	return ended
+	return silent, total
 }
 
 // Segment decides on a segment from a caller.
--- a/internal/steering/host_test.go
+++ b/internal/steering/host_test.go
@@ -174,3 +174,28 @@
 	f.setView(named, 3)
 	f.c.Check(f.engine.View().Targets(), qt.HasLen, 7)
 }
+
+// Guards against a doubted link, and so a balancer out of rotation, because of entries of a
+// service in use that name hosts without an agent.
+func TestEntriesWithoutAgentsRaiseNoDoubt(t *testing.T) {
+	f := newFixture(t, 2)
+	for i := range 5 {
+		f.targets = append(f.targets, target(100+i, "web", "z0"))
+	}
+	f.setView(routes(1, "web"), 2)
+	f.now += 2 * ReportTimeout
+	for i := range 2 {
+		f.targetOf(i).Report(f.now, Report{Complete: true})
+	}
+	f.engine.Tick(f.now, true)
+	f.c.Check(f.engine.LinkDoubted(), qt.IsFalse)
+	f.now += 2 * ReportTimeout
+	f.engine.Tick(f.now, true)
+	f.c.Check(f.engine.LinkDoubted(), qt.IsTrue, qt.Commentf("targets that have reported are silent"))
+	f = newFixture(t, 0)
+	f.targets = []registry.Target{target(0, "web", "z0")}
+	f.setView(routes(1, "web"), 2)
+	f.now += 2 * ReportTimeout
+	f.engine.Tick(f.now, true)
+	f.c.Check(f.engine.LinkDoubted(), qt.IsTrue, qt.Commentf("none has ever reported"))
+}
