Numbers in control datagrams are checked before they are converted

What callers would have seen: a digest with an age above 2^63 ns made the store count as in contact for ever; a tag or port above 16 bits named another service or target; a described time wrapped to a negative one.

Change: such a digest, identity or description is counted as malformed and has no effect. TestReceivedNumbersDoNotWrap; without the check of the digest it ends in a nil registry, as the digest is taken.

The stand-in writes entries for the soak and the tests, which had the platform's field names in the sources of the soak.

--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -369,11 +370,12 @@
 	if segment.Tag(ping.ServiceTag) == a.tracker.Tag() {
 		a.tracker.SetSlots(int(ping.Slots))
 		if target := ping.Target; target != nil {
-			a.tracker.SetAnswerTimeout(time.Duration(target.PatienceMs) * time.Millisecond)
-			a.coverage.Update(now, time.Now().UnixMilli(), occupancy.Description{
-				Born: target.BornUnixMs, Known: time.Duration(target.KnownMs) * time.Millisecond,
-				MaxIdle: time.Duration(target.IdleMs) * time.Millisecond,
-			})
+			if d, ok := describe(target); ok {
+				a.tracker.SetAnswerTimeout(time.Duration(target.PatienceMs) * time.Millisecond)
+				a.coverage.Update(now, time.Now().UnixMilli(), d)
+			} else {
+				a.metrics.Malformed.Inc()
+			}
 		}
 	}
 	index, known := a.byHost[from.Addr()]
@@ -394,6 +396,19 @@
 	}
 }
 
+// maxMilliseconds is the longest time that a time.Duration holds, in milliseconds.
+const maxMilliseconds = math.MaxInt64 / uint64(time.Millisecond)
+
+// describe decodes the description of a target; false if a time is out of range.
+func describe(m *schema.LinkTarget) (occupancy.Description, bool) {
+	if max(m.KnownMs, m.IdleMs, m.PatienceMs) > maxMilliseconds {
+		return occupancy.Description{}, false
+	}
+	return occupancy.Description{
+		Born: m.BornUnixMs, Known: time.Duration(m.KnownMs) * time.Millisecond, MaxIdle: time.Duration(m.IdleMs) * time.Millisecond,
+	}, true
+}
+
 // identity returns what the settings of the agent say of its target. The caller must hold
 // a.mu.
 func (a *Agent) identity() *schema.LinkIdentity {
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -61,8 +62,12 @@
 	if m.GetServiceTag() != 0 {
 		tag = m.GetServiceTag()
 	}
-	if tag == 0 {
+	switch {
+	case tag == 0:
 		return view.TargetOn(host)
+	case tag > math.MaxUint16 || m.GetPort() > math.MaxUint16:
+		b.metrics.Malformed.Inc()
+		return nil
 	}
 	identity := segment.Identity{Tag: segment.Tag(tag), Service: segment.ServiceHash(m.GetServiceHash()), Port: uint16(m.GetPort())}
 	t, disowned := view.Identify(host, identity)
@@ -138,6 +143,10 @@
 		Reading: m.Reading, Failing: m.Failing, Leaving: m.Leaving,
 		Serving: m.Serving, Zone: m.Zone, Capacity: m.Capacity, Retaining: m.Retaining,
 	}
+	if m.GetContactAgeMs() > maxMilliseconds {
+		b.metrics.Malformed.Inc()
+		return
+	}
 	if m.ContactAgeMs != nil {
 		d.ContactAge = time.Duration(m.GetContactAgeMs()) * time.Millisecond
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,11 +1,11 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -102,28 +102,35 @@
 // start, and removes it after a time. It disturbs nothing: no check is relaxed for it.
 func (r *run) writeForeignEntry(t *target, variant int, duration time.Duration) {
 	host := t.agent.host
-	address := netip.AddrPortFrom(host.IP, host.Ports.App)
-	otherPort := netip.AddrPortFrom(host.IP, host.Ports.App+1)
 	other := services[(slices.Index(services, t.service)+1)%len(services)]
-	born := time.Now().Add(time.Second).UnixMilli()
-	whole := func(service string, at netip.AddrPort) string {
-		return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"a","version":"v1","capacity":3,"state":"ready","warmup_remaining_ms":0,"sequence":1,"born":%d}`,
-			service, at, born)
+	entry := standin.Entry{
+		Service: t.service, Address: netip.AddrPortFrom(host.IP, host.Ports.App), Zone: host.Zone, Slots: 3, State: "ready", Sequence: 1,
+		Born: time.Now().Add(time.Second).UnixMilli(),
+	}
+	otherPort := netip.AddrPortFrom(host.IP, host.Ports.App+1)
+	const unreadable = "that cannot be read"
+	kinds := []struct {
+		name   string
+		change func()
+	}{
+		{"of an unnamed service", func() { entry.Service, entry.Address = "exporter", otherPort }},
+		{"of an unnamed service at its address", func() { entry.Service = "exporter" }},
+		{"of another service", func() { entry.Service, entry.Address = other, otherPort }},
+		{"of another service at its address", func() { entry.Service = other }},
+		{"of its service at another port", func() { entry.Address = otherPort }},
+		{"without some fields", func() { entry.Partial = true }},
+		{unreadable, func() {}},
 	}
-	entries := []struct{ kind, value string }{
-		{"of an unnamed service", whole("exporter", otherPort)},
-		{"of an unnamed service at its address", whole("exporter", address)},
-		{"of another service", whole(other, otherPort)},
-		{"of another service at its address", whole(other, address)},
-		{"of its service at another port", whole(t.service, otherPort)},
-		{"without some fields", fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"a","capacity":3,"state":"ready","born":%d}`, t.service, address, born)},
-		{"that cannot be read", strings.Repeat("\xff", 1<<20)},
+	kind := kinds[variant%len(kinds)]
+	kind.change()
+	r.logf("entry %s on the host of target %d for %s", kind.name, t.index, duration)
+	id := fmt.Sprintf("foreign-%d", variant)
+	if kind.name == unreadable {
+		standin.PutValue(r.fleet.store, id, bytes.Repeat([]byte{0xff}, 1<<20))
+	} else {
+		standin.PutEntry(r.fleet.store, id, entry)
 	}
-	entry := entries[variant%len(entries)]
-	r.logf("entry %s on the host of target %d for %s", entry.kind, t.index, duration)
-	key := fmt.Sprintf("servers/foreign-%d", variant)
-	r.fleet.store.Put(key, []byte(entry.value))
-	r.schedule(duration, func() { r.fleet.store.Delete(key) })
+	r.schedule(duration, func() { standin.DeleteEntry(r.fleet.store, id) })
 }
 
 // restoreStore restores the store from a copy. The operator and the targets write again what
