--- a/internal/segnode/pull_test.go
+++ b/internal/segnode/pull_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/registry"
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/silence"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
 )
 
@@ -125,3 +126,20 @@
 	c.Check(b.registry.Routes().Routes, qt.HasLen, 1)
 	c.Check(b.metrics.EntriesUnusable.Value(), qt.Equals, int64(4))
 }
+
+// Guards against a pull that waits for good for a peer that does not answer: no other pull
+// begins meanwhile.
+func TestPullFromASilentPeerEnds(t *testing.T) {
+	c := qt.New(t)
+	silent, err := silence.Listen()
+	c.Assert(err, qt.IsNil)
+	defer silent.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- (&Balancer{}).pullFrom(silent.Addr().(*net.TCPAddr).AddrPort(), Have{}) }()
+	select {
+	case err := <-ended:
+		c.Check(err, qt.ErrorMatches, "connect to balancer .*")
+	case <-time.After(20 * time.Second):
+		c.Fatal("the pull does not end")
+	}
+}
