Soak: targets end with their run

Seen: the second of two soak tests beside each other did not start seed 623: 'bind target address: address already in use'. Targets were never ended, so that each seed kept its sockets for the life of the process; the other process had used the same loopback network (its process ID plus the seed) for seed 625. Traced by the numbers of the networks and by reading.

Change: the targets of a run end with it, and restarts that were scheduled before do nothing. TestTargetsEndWithTheirRun needs close.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -133,3 +133,22 @@
 	c.Check(shopTarget.crash(nil), qt.IsFalse)
 	c.Check(shopTarget.crash(shopTarget.currentTarget()), qt.IsTrue)
 }
+
+// Guards against targets that keep their addresses after their run, or are started again by a
+// restart that was scheduled before its end (seed 623 beside another soak test: "bind target
+// address: address already in use").
+func TestTargetsEndWithTheirRun(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{loopbackNet: byte(20 + os.Getpid()%200), store: standin.NewStore(), ports: standin.Ports{App: 23265, Outbound: 23262}}
+	c.Cleanup(f.store.Close)
+	r := &run{fleet: f, checker: newChecker()}
+	shopTarget := &target{service: "shop", agent: &process{host: standin.Host{IP: f.address(3, 0), Zone: "a"}}}
+	c.Assert(r.startTarget(shopTarget), qt.IsNil)
+	old := shopTarget.currentTarget()
+	shopTarget.close()
+	r.restartTarget(shopTarget, old)
+	c.Check(shopTarget.currentTarget(), qt.IsNil)
+	next := &target{service: "shop", agent: shopTarget.agent}
+	c.Assert(r.startTarget(next), qt.IsNil)
+	next.close()
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -85,7 +85,9 @@
 	incarnation int
 	current     *standin.Target
 	crashed     time.Time
-	agent       *process
+	// closed is set when the run has ended; restarts may be scheduled for later.
+	closed bool
+	agent  *process
 }
 
 // Run runs the soak test and returns the violations. The error is not nil if the
@@ -222,7 +224,7 @@
 func (r *run) startTarget(t *target) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.current != nil {
+	if t.current != nil || t.closed {
 		return nil
 	}
 	t.incarnation++
@@ -424,8 +426,22 @@
 	for _, p := range append(r.fleet.balancers, r.fleet.agents...) {
 		p.stop()
 	}
+	for _, t := range r.targets {
+		t.close()
+	}
 	if r.caller != nil {
 		r.caller.Close()
 	}
 	r.fleet.store.Close()
 }
+
+// close ends the target for good, so that a later run can have its address.
+func (t *target) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	if t.current != nil {
+		t.current.Crash()
+		t.current = nil
+	}
+}
