--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -96,6 +96,8 @@
 	Routes  []Route
 	// Services lists the services that the configuration names; routes may name others.
 	Services []string
+	// Warmups holds the limits of services whose targets warm up.
+	Warmups map[string]Warmup
 	// IdleTimeout is the time after which an idle flow may be removed.
 	IdleTimeout time.Duration
 }
@@ -132,6 +134,9 @@
 	Draining bool
 	// Cold is set for a short time after the start, while the target is slow.
 	Cold bool
+	// WarmupLeft is the time until the target was warm, when the entry was published; 0
+	// if it is warm.
+	WarmupLeft time.Duration
 	// Lapsed is set if the entry disappeared without a drain.
 	Lapsed bool
 	// LapseLeft is the time until a lapsed target is removed, when the table was sent.
--- a/internal/segment/mark.go
+++ b/internal/segment/mark.go
@@ -16,8 +16,14 @@
 	// Search is set if the balancer is searching for the flow's owner.
 	Search bool
 	// Sender is the number that the agent assigned to the balancer that sent the
-	// segment.
+	// segment. A balancer sends Patience and MayWait in its place.
 	Sender uint8
+	// Patience is the time after which the caller no longer waits for the answer to an
+	// opening, 0 if unknown. PackOpening rounds it down by up to an eighth.
+	Patience time.Duration
+	// MayWait is set on an opening that may wait at the agent for a free slot, within
+	// its patience.
+	MayWait bool
 	// Priority is the priority of the opening's route, 0 is the highest. Priorities
 	// above MaxPriority count as MaxPriority.
 	Priority uint8
@@ -45,6 +51,8 @@
 	// the budgets of two successive codes.
 	minBudget  = 5 * time.Millisecond
 	budgetStep = 1.15
+	// mayWaitBit is set in the byte of the sender, beside the code of the patience.
+	mayWaitBit = 0x80
 )
 
 // budgets holds the budget of each code: 5 ms to 25 s.
@@ -57,15 +65,23 @@
 	return b
 }()
 
-// budgetCode returns the code of the highest budget that is not above that of the mark.
+// budgetCode returns the code of the budget of the mark.
 func (m Mark) budgetCode() uint8 {
-	switch {
-	case m.Late || m.Budget != 0 && m.Budget < minBudget:
+	if m.Late {
 		return lateCode
-	case m.Budget == 0:
+	}
+	return timeCode(m.Budget)
+}
+
+// timeCode returns the code of the highest budget that is not above a time.
+func timeCode(d time.Duration) uint8 {
+	switch {
+	case d == 0:
 		return noBudgetCode
+	case d < minBudget:
+		return lateCode
 	}
-	above := sort.Search(len(budgets)-minBudgetCode, func(i int) bool { return budgets[minBudgetCode+i] > m.Budget })
+	above := sort.Search(len(budgets)-minBudgetCode, func(i int) bool { return budgets[minBudgetCode+i] > d })
 	return uint8(minBudgetCode + above - 1)
 }
 
@@ -82,6 +98,23 @@
 	return urgency<<32 | uint64(m.Tag)<<16 | flags<<8 | uint64(m.Sender)
 }
 
+// PackOpening encodes the mark of an opening that a balancer sends to an agent.
+func (m Mark) PackOpening() uint64 {
+	m.Sender = timeCode(m.Patience)
+	if m.MayWait {
+		m.Sender |= mayWaitBit
+	}
+	return m.Pack()
+}
+
+// UnpackOpening decodes the output of PackOpening.
+func UnpackOpening(v uint64) Mark {
+	m := Unpack(v)
+	m.Patience, m.MayWait = budgets[m.Sender&maxBudgetCode], m.Sender&mayWaitBit != 0
+	m.Sender = 0
+	return m
+}
+
 // Unpack decodes the output of Pack.
 func Unpack(v uint64) Mark {
 	flags, urgency := uint8(v>>8), uint8(v>>32)
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -131,6 +131,12 @@
 	// Request returns the identifier of the request that begins in a payload, or nil if
 	// none does.
 	Request(data []byte) []byte
+	// RequestSize returns the size in bytes of the request that begins in a payload, with
+	// its header and body; 0 if none begins there or the size is not known.
+	RequestSize(data []byte) int
+	// OpeningTimeout returns the time after the first copy of an opening at which a caller
+	// gives up the opening if no target has accepted it.
+	OpeningTimeout() time.Duration
 	// Status returns the status of the answer that begins in a payload, or 0 if none
 	// does.
 	Status(data []byte) int
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -64,3 +64,22 @@
 	_, ok = DecodeFlow([]byte{1})
 	c.Check(ok, qt.IsFalse)
 }
+
+// An agent that read the patience of an opening too long would let it wait beyond the time at
+// which its caller gives up.
+func TestPatienceOfOpening(t *testing.T) {
+	c := qt.New(t)
+	for _, m := range []Mark{
+		{Tag: 9, Patience: 1400 * time.Millisecond, MayWait: true, Budget: 200 * time.Millisecond, Priority: 2},
+		{Tag: 9, Patience: 700 * time.Millisecond, Late: true},
+		{Tag: 9, Patience: 3 * time.Millisecond, MayWait: true},
+		{Tag: 9},
+	} {
+		decoded := UnpackOpening(m.PackOpening())
+		c.Check(decoded.MayWait, qt.Equals, m.MayWait)
+		c.Check(decoded.Patience <= m.Patience, qt.IsTrue, qt.Commentf("%s, decoded %s", m.Patience, decoded.Patience))
+		c.Check(decoded.Patience > m.Patience*7/8 || m.Patience < 5*time.Millisecond, qt.IsTrue)
+		c.Check(decoded.Late, qt.Equals, m.Late)
+		c.Check(decoded.Sender, qt.Equals, uint8(0))
+	}
+}
