Occupancy: a request takes a slot from its last byte on

The agent learns the size from the header and keeps what is missing of a request that arrives; slot, service time, answer timeout and expiry count from its last new byte. Requests of unknown size count as before. Arriving requests count as load only as far as the slots cannot serve them while they arrive, so that a target does not take bodies without bound.

Ruled out: letting the highest segment decide, because a lost one comes 200 ms later at the earliest, which would be taken for work.

Metrics arriving and request_arrival; field arrived in 612, arriving in 615.

--- a/internal/occupancy/admission.go
+++ b/internal/occupancy/admission.go
@@ -35,11 +35,14 @@
 	Level bool
 	// LearnShed refuses openings when the target is expected to shed them.
 	LearnShed bool
+	// WholeRequests counts requests of known size from their last byte. Without it, all
+	// requests count from their first segment.
+	WholeRequests bool
 }
 
 // DefaultPolicy returns the policy with all mechanisms.
 func DefaultPolicy() Policy {
-	return Policy{ByTime: true, LateToFreeSlots: true, Level: true, LearnShed: true}
+	return Policy{ByTime: true, LateToFreeSlots: true, Level: true, LearnShed: true, WholeRequests: true}
 }
 
 // busy reports whether an opening is refused because of the load of the target. An
@@ -47,14 +50,14 @@
 func (t *Tracker) busy(now time.Duration, mark segment.Mark, caller segment.Endpoint) bool {
 	w := &t.work
 	switch {
-	case w.slots == 0 || t.pending < w.slots:
+	case w.slots == 0 || t.load() < w.slots:
 		return false
 	case mark.Late && t.policy.LateToFreeSlots:
 		return true
-	case t.policy.LearnShed && w.sheds(now, t.pending):
+	case t.policy.LearnShed && w.sheds(now, t.load()):
 		return true
 	case !t.policy.ByTime || mark.Budget == 0:
-		return mark.Attempt < maxLoadRetries && float64(t.pending) >= float64(w.slots)*(1+maxQueuePerSlot)
+		return mark.Attempt < maxLoadRetries && float64(t.load()) >= float64(w.slots)*(1+maxQueuePerSlot)
 	}
 	wait, longest := t.waits(mark.Budget)
 	if t.policy.Level && t.level.excludes(mark.Priority, caller) {
@@ -70,11 +73,11 @@
 	if w.service == 0 {
 		w.service = time.Duration(assumedServiceShare * float64(budget))
 	}
-	return w.expectedWait(t.pending), budget - 2*w.roundTrip - time.Duration(serviceMargin*float64(w.service))
+	return w.expectedWait(t.load()), budget - 2*w.roundTrip - time.Duration(serviceMargin*float64(w.service))
 }
 
 // ExpectedWait returns the expected wait of a request whose opening arrives now.
-func (t *Tracker) ExpectedWait() time.Duration { return t.work.expectedWait(t.pending) }
+func (t *Tracker) ExpectedWait() time.Duration { return t.work.expectedWait(t.load()) }
 
 // ServiceTime returns the mean service time of the target; 0 before its first answer.
 func (t *Tracker) ServiceTime() time.Duration { return t.work.service }
--- a/internal/occupancy/answers.go
+++ b/internal/occupancy/answers.go
@@ -12,15 +12,19 @@
 	// the flow.
 	ReportOwner bool
 	// Abandoned is set if the caller closed the flow while a request had no answer;
-	// Request is the identifier of that request and Waited the time since its first
-	// data, or since its last if the target was not known to hold the flow.
-	Abandoned bool
-	Request   segment.RequestID
-	Waited    time.Duration
+	// Request is the identifier of that request and Waited the time since it had arrived:
+	// since its last new byte, or since its first data if its size is unknown. Arriving is
+	// set if it had not arrived; Waited is then the time since its first data.
+	Abandoned, Arriving bool
+	Request             segment.RequestID
+	Waited              time.Duration
+	// Arrived is the time from the first data of a request to its last, set on the
+	// segment with which a request of several segments has arrived; 0 otherwise.
+	Arrived time.Duration
 }
 
 // Delivered records a segment that goes to the target. Request is the identifier of the
-// request that begins in it, or nil.
+// request that begins in it, or nil; its size is head.RequestSize.
 func (t *Tracker) Delivered(now time.Duration, head segment.Head, mark segment.Mark, sender uint8, request []byte) Delivery {
 	flow := head.FromCaller()
 	s, known := t.flows.Get(flow)
@@ -49,27 +53,16 @@
 		if s.requestedAt != 0 {
 			d.Abandoned, d.Request, d.Waited = true, s.request, now-s.requestedAt
 		}
+		if s.arriving {
+			d.Abandoned, d.Request, d.Arriving = true, s.request, true
+			d.Waited = t.endArrival(now, flow, &s)
+		}
 		s.requestedAt, s.opening, s.ended = 0, false, true
 		t.endWithoutOutcome(&s)
-	case head.DataLength > 0 && !s.retransmits(head):
-		if s.acceptedAt != 0 {
-			t.work.observeRoundTrip(now - s.acceptedAt)
-			s.acceptedAt = 0
-		}
-		s.opening = false
-		s.dataEnd, s.hasData = head.DataEnd(), true
-		if s.requestedAt == 0 {
-			t.endWithoutOutcome(&s)
-			t.begun = append(t.begun, flowAt{flow, now})
-		}
-		if s.requestedAt == 0 || !s.held {
-			s.requestedAt, s.countedFailed, s.multiSegment, s.outcomeDue = now, false, false, false
-		}
-		if request != nil {
-			s.request = segment.MakeRequestID(request)
-			t.failures.expectAnswer(flow, now)
-		} else {
-			s.multiSegment = true
+	case head.DataLength > 0:
+		t.dataDelivered(now, flow, &s, head, request)
+		if before.arriving && s.requestedAt != 0 {
+			d.Arrived = s.arrivedIn
 		}
 	}
 	if !head.Opening && s.accepted {
@@ -106,9 +99,13 @@
 	// Resolved is set on the segment that says the outcome of the request. The fields
 	// below are valid with it.
 	Resolved bool
-	// Waited is the time from the request's first data, or from its last if the target
-	// was not known to hold the flow, to the first segment of its answer.
+	// Waited is the time from the last new byte of the request to the first segment of
+	// its answer. It begins with the request's first data if the size is unknown, or with
+	// its last if the target was not known to hold the flow either.
 	Waited time.Duration
+	// Arrived is the time from the first data of the request to its last new byte; 0 if
+	// it had one segment or its size is unknown.
+	Arrived time.Duration
 	// Expected is the expected value of Waited; 0 if unknown.
 	Expected time.Duration
 	// SinceOpening is the time since the opening if this is the flow's first answer; 0
@@ -125,16 +122,16 @@
 	a := Answer{Sender: s.sender, Request: s.request}
 	switch {
 	case head.Accepted:
-		if known && !s.opening && s.requestedAt == 0 {
+		if known && !s.opening && !s.arriving && s.requestedAt == 0 {
 			s.opening = true
 			t.openings = append(t.openings, flowAt{flow, now})
 		}
 		s.accepted, s.acceptedAt = true, now
 	case head.Reset:
-		if s.requestedAt != 0 {
+		if s.requestedAt != 0 || s.arriving {
 			t.failures.record(now, true)
 		}
-		s.requestedAt, s.opening, s.ended = 0, false, true
+		s.requestedAt, s.arriving, s.opening, s.ended = 0, false, false, true
 	case head.Ended || head.DataLength > 0:
 		t.answerSegment(now, &s, head, outcome, &a)
 	}
@@ -160,9 +157,13 @@
 		}
 		s.requestedAt = 0
 	}
+	if s.arriving {
+		s.waited, s.served, s.arrivedIn, s.expected = t.endArrival(now, head.FromTarget(), s), 0, 0, 0
+		s.outcomeDue, s.early = true, true
+	}
 	if s.outcomeDue && outcome != NoOutcome {
 		s.outcomeDue = false
-		a.Resolved, a.Waited, a.Expected = true, s.waited, s.expected
+		a.Resolved, a.Waited, a.Arrived, a.Expected = true, s.waited, s.arrivedIn, s.expected
 		if s.openedAt != 0 {
 			a.SinceOpening = now - s.openedAt
 			s.openedAt = 0
@@ -189,7 +190,7 @@
 		t.failures.record(now, failed)
 	}
 	switch {
-	case failed && s.served == 0:
+	case failed && s.served == 0 && !s.early:
 		t.work.observeShed(now, t.pending)
 	case !failed && s.served != 0:
 		t.work.observe(s.served)
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -66,9 +66,20 @@
 
 // flowState is what the agent has observed of a flow.
 type flowState struct {
-	// requestedAt is the time of the first data of a request without an answer, or of
-	// its last data while the target is not known to hold the flow; 0 if there is none.
+	// requestedAt is the time at which a request without an answer had arrived; 0 if
+	// there is none. A request of unknown size counts from its first data, or from its
+	// last while the target is not known to hold the flow.
 	requestedAt time.Duration
+	// arriving is set while a part of a request has arrived; it is in Tracker.arrivals.
+	arriving bool
+	// arrivedIn is the time in which the last request arrived; 0 if it had one segment or
+	// its size is unknown.
+	arrivedIn time.Duration
+	// requestEnd is the sequence number after the last request, valid if hasRequestEnd.
+	requestEnd    uint32
+	hasRequestEnd bool
+	// early is set if the last answer began before its request had arrived.
+	early bool
 	// openedAt is the time of the first copy of the opening; 0 after the first answer.
 	openedAt time.Duration
 	// acceptedAt is the time at which the target accepted the opening.
@@ -137,6 +148,10 @@
 
 	// openings holds accepted openings, begun requests that were sent to the target.
 	openings, begun flowQueue
+	// arrivals holds the requests of which a part has arrived, arrivalQueue the times at
+	// which they were last seen to arrive.
+	arrivals     map[segment.Flow]*arrival
+	arrivalQueue flowQueue
 
 	pending int
 	mean    float64
@@ -163,6 +178,7 @@
 		tag:    segment.TagOf(service),
 		flows:  generations.New[segment.Flow, flowState](maxFlows),
 
+		arrivals: make(map[segment.Flow]*arrival),
 		failures: failures{answerTimeout: defaultAnswerTimeout},
 		level:    newLevel(),
 	}
@@ -190,8 +206,9 @@
 // is shutting down.
 func (t *Tracker) RefuseOpenings() { t.leaving = true }
 
-// Pending returns the number of requests that run or wait at the target.
-func (t *Tracker) Pending() int { return t.pending }
+// Pending returns the number of requests that run or wait at the target, and of those
+// that are arriving as many as its slots cannot serve meanwhile.
+func (t *Tracker) Pending() int { return t.load() }
 
 // Mean returns the mean number of pending requests over the last second.
 func (t *Tracker) Mean(now time.Duration) float64 {
@@ -244,9 +261,13 @@
 	if ends {
 		after.startedAt = 0
 	}
-	if !t.flows.Put(flow, after) {
+	stored := t.flows.Put(flow, after)
+	if !stored {
 		t.overflowedAt = now
 	}
+	if before.arriving && !after.arriving || !stored {
+		delete(t.arrivals, flow)
+	}
 	if ends && before.startedAt != 0 {
 		t.startNext(now)
 	}
@@ -354,7 +375,11 @@
 			t.update(now, flow, s, after)
 		}
 	}
-	t.flows.Rotate(now, flowTTL, func(_ segment.Flow, s flowState) {
+	t.expireArrivals(now, limit)
+	t.flows.Rotate(now, flowTTL, func(flow segment.Flow, s flowState) {
+		if s.arriving {
+			delete(t.arrivals, flow)
+		}
 		if s.pending() {
 			t.advance(now)
 			t.pending--
--- a/internal/occupancy/work.go
+++ b/internal/occupancy/work.go
@@ -1,6 +1,7 @@
 package occupancy
 
 import (
+	"math"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/segment"
@@ -28,6 +29,9 @@
 	// service is the mean service time, roundTrip the mean time from the acceptance of an
 	// opening to the first data of the caller; 0 before the first sample.
 	service, roundTrip time.Duration
+	// arrival is the mean time in which requests of several segments arrive; 0 before the
+	// first sample.
+	arrival time.Duration
 	// shedLimit is the number of pending requests at which the target shed one at
 	// shedAt; 0 if it has shed none.
 	shedLimit int
@@ -50,6 +54,18 @@
 // observeRoundTrip adds a sample of the round trip time to a caller.
 func (w *work) observeRoundTrip(rtt time.Duration) { w.roundTrip = ewma(w.roundTrip, rtt) }
 
+// observeArrival adds a sample of the time in which a request arrives.
+func (w *work) observeArrival(took time.Duration) { w.arrival = ewma(w.arrival, took) }
+
+// servedInArrival returns the number of requests that the slots serve in the time that a
+// request takes to arrive. It is unlimited while the service time is unknown.
+func (w *work) servedInArrival() int {
+	if w.slots == 0 || w.service == 0 || w.arrival == 0 {
+		return math.MaxInt
+	}
+	return int(float64(w.slots) * float64(w.arrival) / float64(w.service))
+}
+
 func ewma(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
 		return sample
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -107,6 +107,9 @@
 	// Age is the time since the caller sent the first copy of an opening, as far as it is
 	// known; 0 for other segments.
 	Age time.Duration
+	// RequestSize is the size in bytes of the request that begins in the segment, with its
+	// header and body; 0 if none begins there or the size is not known. Parse leaves it 0.
+	RequestSize int
 	// Mark holds 40 bits that balancers and agents set. A target returns the lower 32
 	// unchanged and clears the others.
 	Mark uint64
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -132,7 +132,10 @@
 	}
 	var request []byte
 	if head.DataLength > 0 {
-		request = a.options.Codec.Request(a.options.Codec.Data(b))
+		data := a.options.Codec.Data(b)
+		if request = a.options.Codec.Request(data); request != nil {
+			head.RequestSize = a.options.Codec.RequestSize(data)
+		}
 	}
 	now := a.clock.now()
 	mark := segment.Unpack(head.Mark)
@@ -157,6 +160,9 @@
 	if delivery.ReportOwner {
 		a.sendOwner(head.FromCaller(), sender)
 	}
+	if delivery.Arrived > 0 {
+		a.metrics.RequestArrival.Record(delivery.Arrived)
+	}
 	switch {
 	case request != nil:
 		a.metrics.SegmentsIn.Inc()
@@ -166,7 +172,7 @@
 		}
 	case delivery.Abandoned && a.options.Logger.Allow(telemetry.RequestAbandoned):
 		a.options.Logger.Log(telemetry.RequestAbandoned, "request", delivery.Request.String(), "flow", head.FromCaller().String(),
-			"waited", delivery.Waited.Round(time.Millisecond), "pending", load.pending)
+			"waited", delivery.Waited.Round(time.Millisecond), "arriving", delivery.Arriving, "pending", load.pending)
 	}
 }
 
@@ -288,7 +294,7 @@
 	}
 	if (failed || answer.Waited > slowAnswerThreshold) && a.options.Logger.Allow(telemetry.AnswerUnusual) {
 		a.options.Logger.Log(telemetry.AnswerUnusual, "request", answer.Request.String(), "flow", head.FromTarget().String(),
-			"status", status, "waited", answer.Waited.Round(time.Millisecond), "pending", pending)
+			"status", status, "waited", answer.Waited.Round(time.Millisecond), "arrived", answer.Arrived.Round(time.Millisecond), "pending", pending)
 	}
 }
 
@@ -473,7 +479,7 @@
 func (a *Agent) pending() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.tracker.Pending()
+	return a.tracker.Unfinished()
 }
 
 func (a *Agent) close() {
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -39,6 +39,7 @@
 		}
 		balancer.pinged = false
 	}
+	arriving := a.tracker.Arriving()
 	identity := a.identity()
 	identity.ServiceTag = 0
 	a.urgent = false
@@ -48,6 +49,7 @@
 	a.loggedFailing = startedFailing || a.loggedFailing && !stoppedFailing
 	a.mu.Unlock()
 	a.metrics.Pending.Set(int64(load.Pending))
+	a.metrics.Arriving.Set(int64(arriving))
 	if changed {
 		a.options.Logger.Log(telemetry.TargetResponds, "responds", !load.Unresponsive, "pending", load.Pending)
 	}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -173,13 +173,13 @@
 	SegmentReturned = Event{Number: 611, Level: log.InfoLevel, Name: "segment_returned",
 		Message: "target does not hold the flow or cannot open it; returning the segment", Fields: []string{"flow", "opening", "balancer"}}
 	AnswerUnusual = Event{Number: 612, Level: log.WarnLevel, Name: "answer_unusual",
-		Message: "target answered late or with an error status", Fields: []string{"request", "flow", "status", "waited", "pending"}}
+		Message: "target answered late or with an error status", Fields: []string{"request", "flow", "status", "waited", "arrived", "pending"}}
 	TargetResponds = Event{Number: 613, Level: log.WarnLevel, Name: "target_responds",
 		Message: "target started or stopped responding", Fields: []string{"responds", "pending"}}
 	RequestHanded = Event{Number: 614, Level: log.InfoLevel, Name: "request_handed",
 		Message: "request dispatched to the target", Fields: []string{"request", "flow", "balancer", "pending"}}
 	RequestAbandoned = Event{Number: 615, Level: log.WarnLevel, Name: "request_abandoned",
-		Message: "caller closed the flow before the answer", Fields: []string{"request", "flow", "waited", "pending"}}
+		Message: "caller closed the flow before the answer", Fields: []string{"request", "flow", "waited", "arriving", "pending"}}
 	TargetFailing = Event{Number: 616, Level: log.WarnLevel, Name: "target_failing",
 		Message: "target started or stopped failing a share of its requests", Fields: []string{"failing", "share", "pending"}}
 	FlowsTold = Event{Number: 617, Level: log.InfoLevel, Name: "flows_told",
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -53,9 +53,9 @@
 	AnswersFailed, Resets, Malformed, SendErrors, Overruns     Counter
 	StoreCalls, StoreErrors, PullErrors, EntriesUnusable       Counter
 	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
-	RoutesUnusable                                             Gauge
+	RoutesUnusable, Arriving                                   Gauge
 	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
-	ExpectedWait, WaitError                                    *Histogram
+	ExpectedWait, WaitError, RequestArrival                    *Histogram
 
 	reasons     [maxReasons]Counter
 	reasonNames []string
@@ -129,6 +129,8 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Flows }),
 		gaugeDesc("pending", "requests", "agent: requests running or queued at the target",
 			func(m *SegmentMetrics) *Gauge { return &m.Pending }),
+		gaugeDesc("arriving", "requests", "agent: requests of several segments of which a part has arrived",
+			func(m *SegmentMetrics) *Gauge { return &m.Arriving }),
 		gaugeDesc("routes_version", "version", "balancer: version of the routes in force",
 			func(m *SegmentMetrics) *Gauge { return &m.Version }),
 		gaugeDesc("store_epoch", "restores", "balancer: epoch of the store that the table in force is from; 0 if unknown",
@@ -140,12 +142,14 @@
 		gaugeDesc("beliefs_age_ms", "milliseconds",
 			"balancer: age of the latest response of the store to this process or to a peer; -1 if there is none",
 			func(m *SegmentMetrics) *Gauge { return &m.ViewAge }),
-		histogramDesc("answer_wait", "agent: time from the first data of a request, or from its last while the target is not known to hold the flow, to the first data of its answer",
+		histogramDesc("answer_wait", "agent: time from the last new byte of a request to the first data of its answer; from its first data if its size is unknown, or from its last if the target is not known to hold the flow either",
 			func(m *SegmentMetrics) *Histogram { return m.AnswerWait }),
 		histogramDesc("expected_wait", "agent: expected value of answer_wait when the request arrived, for requests with an estimate",
 			func(m *SegmentMetrics) *Histogram { return m.ExpectedWait }),
 		histogramDesc("wait_error", "agent: difference between answer_wait and expected_wait",
 			func(m *SegmentMetrics) *Histogram { return m.WaitError }),
+		histogramDesc("request_arrival", "agent: time from the first data of a request of several segments to its last new byte, for requests of known size",
+			func(m *SegmentMetrics) *Histogram { return m.RequestArrival }),
 		histogramDesc("opening_to_answer", "agent: time from the opening of a flow to the first data of its first answer",
 			func(m *SegmentMetrics) *Histogram { return m.OpeningToAnswer }),
 		histogramDesc("store_call", "balancer: duration of a call to the store; a watch without changes lasts until its timeout",
@@ -170,7 +174,7 @@
 func NewSegmentMetrics(name string, reasons ...string) *SegmentMetrics {
 	m := &SegmentMetrics{
 		AnswerWait: newHistogram(), OpeningToAnswer: newHistogram(), StoreCall: newHistogram(), Search: newHistogram(),
-		ExpectedWait: newHistogram(), WaitError: newHistogram(),
+		ExpectedWait: newHistogram(), WaitError: newHistogram(), RequestArrival: newHistogram(),
 		reasonNames: reasons, vars: new(expvar.Map),
 	}
 	for _, desc := range SegmentMetricDescs() {
