Occupancy: unused openings expire after a few round trips

A caller whose copies went to several targets uses one acceptance. Each of the others counted as load for 300 ms, although a round trip takes some milliseconds: after a loss of power of everything idle targets look full.

An accepted opening now counts for four mean round trips, or twice the longest recent one, 300 ms at most and while none is known. They expire on admission too, not only with the next tick after 50 ms. Policy MeasuredOpenings switches it off.

--- a/internal/occupancy/admission.go
+++ b/internal/occupancy/admission.go
@@ -38,11 +38,14 @@
 	// WholeRequests counts requests of known size from their last byte. Without it, all
 	// requests count from their first segment.
 	WholeRequests bool
+	// MeasuredOpenings lets unused openings expire after a few measured round trips.
+	// Without it, they expire after openingTTL.
+	MeasuredOpenings bool
 }
 
 // DefaultPolicy returns the policy with all mechanisms.
 func DefaultPolicy() Policy {
-	return Policy{ByTime: true, LateToFreeSlots: true, Level: true, LearnShed: true, WholeRequests: true}
+	return Policy{ByTime: true, LateToFreeSlots: true, Level: true, LearnShed: true, WholeRequests: true, MeasuredOpenings: true}
 }
 
 // busy reports whether an opening is refused because of the load of the target. An
--- a/internal/occupancy/answers.go
+++ b/internal/occupancy/answers.go
@@ -175,6 +175,22 @@
 	}
 }
 
+// expireOpenings ends accepted openings whose callers have had the time to send a request:
+// they have opened their flows at other targets.
+func (t *Tracker) expireOpenings(now time.Duration) {
+	age := openingTTL
+	if t.policy.MeasuredOpenings {
+		age = t.work.openingTTL()
+	}
+	for _, flow := range t.openings.removeOlder(now, age) {
+		if s, known := t.flows.Get(flow); known && s.opening {
+			after := s
+			after.opening = false
+			t.update(now, flow, s, after)
+		}
+	}
+}
+
 // endWithoutOutcome ends a request whose answer came without a status. Its service time
 // counts, because not all protocols have a status.
 func (t *Tracker) endWithoutOutcome(s *flowState) {
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -22,8 +22,8 @@
 	// probeInterval is the time between openings that an unresponsive target gets
 	// nevertheless, to detect its recovery.
 	probeInterval = 300 * time.Millisecond
-	// openingTTL is the time for which an accepted opening counts as pending before its
-	// first request: a round trip to the caller and a margin.
+	// openingTTL is the longest time for which an accepted opening counts as pending before
+	// its first request. It is in force while no round trip time is known.
 	openingTTL = 300 * time.Millisecond
 	// pendingTimeoutFactor is the number of answer timeouts after which a request without
 	// an answer no longer counts as pending: its caller has given up, and the target may
@@ -302,6 +302,7 @@
 		// A refusal says that the target does not hold the flow.
 		return Accepted
 	}
+	t.expireOpenings(now)
 	t.observeDemand(now, mark)
 	switch {
 	case t.leaving:
@@ -347,13 +348,7 @@
 // Tick expires openings without a request and idle flows, and counts requests without
 // an answer as failed after the answer timeout.
 func (t *Tracker) Tick(now time.Duration) {
-	for _, flow := range t.openings.removeOlder(now, openingTTL) {
-		if s, known := t.flows.Get(flow); known && s.opening {
-			after := s
-			after.opening = false
-			t.update(now, flow, s, after)
-		}
-	}
+	t.expireOpenings(now)
 	for _, flow := range t.failures.awaited.removeOlder(now, t.failures.answerTimeout) {
 		// The network may have lost a segment of a multi-segment request, so that
 		// a missing answer is no evidence against the target.
--- a/internal/occupancy/work.go
+++ b/internal/occupancy/work.go
@@ -11,6 +11,11 @@
 	// sampleWeight is the weight of a new sample in the mean service time and the mean
 	// round trip time.
 	sampleWeight = 0.1
+	// openingRoundTrips and longestMargin are the multiples of the mean and the longest
+	// round trip for which an accepted opening counts as pending before its first request.
+	openingRoundTrips, longestMargin = 4, 2
+	// longestDecay is the share by which a sample lowers the longest round trip.
+	longestDecay = 0.02
 	// shedLimitRecovery is the time in which the learnt queue limit grows by one request.
 	shedLimitRecovery = time.Second
 )
@@ -29,6 +34,9 @@
 	// service is the mean service time, roundTrip the mean time from the acceptance of an
 	// opening to the first data of the caller; 0 before the first sample.
 	service, roundTrip time.Duration
+	// longestRoundTrip follows the longest recent round trips, up to openingTTL; 0 before the
+	// first sample.
+	longestRoundTrip time.Duration
 	// arrival is the mean time in which requests of several segments arrive; 0 before the
 	// first sample.
 	arrival time.Duration
@@ -52,7 +60,19 @@
 func (w *work) observe(service time.Duration) { w.service = ewma(w.service, service) }
 
 // observeRoundTrip adds a sample of the round trip time to a caller.
-func (w *work) observeRoundTrip(rtt time.Duration) { w.roundTrip = ewma(w.roundTrip, rtt) }
+func (w *work) observeRoundTrip(rtt time.Duration) {
+	w.roundTrip = ewma(w.roundTrip, rtt)
+	w.longestRoundTrip = max(min(rtt, openingTTL), w.longestRoundTrip-time.Duration(longestDecay*float64(w.longestRoundTrip)))
+}
+
+// openingTTL returns the time for which an accepted opening counts as pending before its
+// first request.
+func (w *work) openingTTL() time.Duration {
+	if w.roundTrip == 0 {
+		return openingTTL
+	}
+	return min(openingTTL, max(openingRoundTrips*w.roundTrip, longestMargin*w.longestRoundTrip))
+}
 
 // observeArrival adds a sample of the time in which a request arrives.
 func (w *work) observeArrival(took time.Duration) { w.arrival = ewma(w.arrival, took) }
