Registry: list of evacuated zones

Cause: nothing holds the zones that the operator has evacuated. Change: lists by position, later wins; a list that was only read again changes nothing else. After a restore of the store, zones that were evacuated stay so for RestoreGrace, unless the store has said since that they no longer are; peers learn both.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -250,6 +250,8 @@
 	retained   retained
 	// published holds the entries of the table as they arrived while retained is active.
 	published []Target
+
+	evacuations evacuations
 }
 
 // New returns an empty registry.
@@ -374,10 +376,11 @@
 	return r.expires[t.ID]
 }
 
-// Tick removes lapsed targets whose grace period is over, and puts the table into force as
-// it was published when what was retained no longer takes precedence. It reports whether the
-// table changed.
+// Tick removes lapsed targets whose grace period is over, and puts the table and the list of
+// evacuated zones into force as they were published when what was retained no longer takes
+// precedence. It reports whether one of them changed.
 func (r *Registry) Tick(now time.Duration) bool {
+	evacuationsChanged := r.evacuations.expire(now)
 	changed := false
 	if r.published != nil && !r.retained.active(now) {
 		r.table.Targets = r.merge(now, r.published, false)
@@ -406,7 +409,7 @@
 			delete(r.expires, id)
 		}
 	}
-	return changed
+	return changed || evacuationsChanged
 }
 
 // Change is a change of one target's entry, as returned by a watch.
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -124,9 +124,9 @@
 func (r *Registry) Retaining(now time.Duration) bool { return r.retained.active(now) }
 
 // KnowsBeyondStore reports whether this process has lapsed targets or has retained anything. A
-// process that has just read the same table from the store lacks both.
+// process that has just read the store lacks both.
 func (r *Registry) KnowsBeyondStore(now time.Duration) bool {
-	return r.Retaining(now) || slices.ContainsFunc(r.table.Targets, func(t Target) bool { return t.Lapsed })
+	return r.Retaining(now) || len(r.evacuations.list.Retained) > 0 || slices.ContainsFunc(r.table.Targets, func(t Target) bool { return t.Lapsed })
 }
 
 // Learn adds what a peer has retained, and its lapsed targets, to a table of the same epoch that
