Occupancy: openings of an evacuated zone, count of open flows

Cause: the agent takes openings whatever the operator has asked for its zone. Ruled out: a scan of the flows at each tick, of up to 65,536 entries.

--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -54,9 +54,11 @@
 	Busy
 	// Leaving: the agent is shutting down.
 	Leaving
+	// Evacuated: the zone of the target is evacuated.
+	Evacuated
 )
 
-var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving"}
+var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "evacuated"}
 
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -139,6 +141,8 @@
 	openings, begun flowQueue
 
 	pending int
+	// open counts the flows that the target holds and that have not ended.
+	open    int
 	mean    float64
 	updated time.Duration
 
@@ -147,6 +151,7 @@
 	unansweredSince time.Duration
 	lastProbe       time.Duration
 	leaving         bool
+	evacuated       bool
 
 	failures failures
 	work     work
@@ -190,6 +195,13 @@
 // is shutting down.
 func (t *Tracker) RefuseOpenings() { t.leaving = true }
 
+// SetEvacuated makes the tracker refuse openings while the zone of the target is evacuated.
+func (t *Tracker) SetEvacuated(evacuated bool) { t.evacuated = evacuated }
+
+// Open returns the number of flows that the target holds and that have not ended. A flow whose
+// end was not seen counts until it has been idle for flowTTL.
+func (t *Tracker) Open() int { return t.open }
+
 // Pending returns the number of requests that run or wait at the target.
 func (t *Tracker) Pending() int { return t.pending }
 
@@ -221,6 +233,9 @@
 // pending reports whether the flow counts as a pending request.
 func (s flowState) pending() bool { return s.requestedAt != 0 || s.opening }
 
+// open reports whether the target holds the flow and it has not ended.
+func (s flowState) open() bool { return s.held && !s.ended }
+
 // retransmits reports whether a segment has no data beyond what the target already got.
 func (s flowState) retransmits(head segment.Head) bool {
 	return s.hasData && int32(head.DataEnd()-s.dataEnd) <= 0
@@ -246,6 +261,12 @@
 	}
 	if !t.flows.Put(flow, after) {
 		t.overflowedAt = now
+	} else if before.open() != after.open() {
+		if after.open() {
+			t.open++
+		} else {
+			t.open--
+		}
 	}
 	if ends && before.startedAt != 0 {
 		t.startNext(now)
@@ -285,6 +306,8 @@
 	switch {
 	case t.leaving:
 		return Leaving
+	case t.evacuated:
+		return Evacuated
 	case t.Unresponsive(now) && now-t.lastProbe < probeInterval:
 		return Unresponsive
 	case t.busy(now, mark, head.Source):
@@ -359,6 +382,9 @@
 			t.advance(now)
 			t.pending--
 		}
+		if s.open() {
+			t.open--
+		}
 		if s.startedAt != 0 {
 			t.startNext(now)
 		}
