Steering: no openings to evacuated zones

Cause: targets of an evacuated zone are candidates like others. Change: targets in evacuated zones, and those whose agents report an evacuation, get no openings, nor later copies of earlier ones; if all usable targets of a service are there, the opening is reset (evacuated), unless the view is not confirmed or a target may have accepted a copy. Reports of such a zone are not waited for after the start. Ruled out: the fallback to the target of the copy before, since it may be a flow of an earlier use of the port.

--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -150,7 +150,7 @@
 	if t.load.unresponsive.Load() && now-max(t.lastProbe, time.Duration(t.load.unresponsiveSince.Load())) < unresponsiveProbeInterval {
 		return true
 	}
-	return t.load.leaving.Load() || !t.Reported() || t.Silent(now) && !e.linkDoubted
+	return t.load.leaving.Load() || t.load.evacuated.Load() || !t.Reported() || t.Silent(now) && !e.linkDoubted
 }
 
 // expectsRefusal reports whether the last report of a target says that its agent refuses
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -133,13 +133,15 @@
 	Overloaded
 	// Expired: the timeout of the route is over before the opening is placed.
 	Expired
+	// Evacuated: all targets that could take the opening are in evacuated zones.
+	Evacuated
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"known", "opened", "repeated", "passed_on", "searching", "unconfigured", "no_route",
 	"no_target", "refused", "ownerless", "overfull", "diverted", "irrelevant", "unreported",
-	"overloaded", "expired",
+	"overloaded", "expired", "evacuated",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -35,7 +35,13 @@
 		return Verdict{Action: Wait, Reason: Unreported, Flow: flow}
 	}
 	t := e.choose(now, service, flow, func(t *Target) bool { return t == r.target })
-	if t == nil {
+	if t == nil && e.allEvacuated(service) {
+		if !e.confirmed {
+			return Verdict{Reason: Evacuated, Flow: flow}
+		}
+		return e.refuseOpening(flow, r, Evacuated)
+	}
+	if t == nil && r.target != nil && !r.target.evacuated.Load() {
 		t = r.target
 	}
 	if t == nil {
@@ -91,11 +97,27 @@
 	return Verdict{Action: Reset, Reason: reason, Flow: flow}
 }
 
-// anyReported reports whether any target of a service has reported, or the service has
-// no targets.
+// anyReported reports whether any target of a service outside the evacuated zones has reported,
+// or there is none.
 func (e *Engine) anyReported(service string) bool {
+	none := true
+	for _, t := range e.view.services[service] {
+		if t.evacuated.Load() {
+			continue
+		}
+		if t.Reported() {
+			return true
+		}
+		none = false
+	}
+	return none
+}
+
+// allEvacuated reports whether a service has usable targets, and all of them are in evacuated
+// zones.
+func (e *Engine) allEvacuated(service string) bool {
 	targets := e.view.services[service]
-	return len(targets) == 0 || slices.ContainsFunc(targets, (*Target).Reported)
+	return slices.ContainsFunc(targets, (*Target).usable) && !slices.ContainsFunc(targets, (*Target).acceptsFlows)
 }
 
 // shouldDivert reports whether a new flow should go to another balancer. The hash of
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -60,6 +60,8 @@
 	failingMilli atomic.Uint32
 	// unresponsive targets do not answer their agent; leaving agents are shutting down.
 	unresponsive, leaving atomic.Bool
+	// evacuated is set while the agent takes no openings because of an evacuation.
+	evacuated atomic.Bool
 }
 
 // Report is the content of an agent's report.
@@ -77,6 +79,8 @@
 	Leaving      bool
 	// Complete is set while the agent has seen every flow of its target.
 	Complete bool
+	// Evacuated is set while the agent takes no openings because its zone is evacuated.
+	Evacuated bool
 }
 
 // Target is one incarnation of a target as a balancer sees it.
@@ -96,6 +100,8 @@
 	standing atomic.Uint32
 
 	draining, cold, removed, replaced atomic.Bool
+	// evacuated is set while the zone of the target is evacuated.
+	evacuated atomic.Bool
 	// restored is set once the agent has sent the flows that this balancer forwarded
 	// before it restarted.
 	restored atomic.Bool
@@ -122,6 +128,7 @@
 		t.load.unresponsiveSince.Store(int64(now))
 	}
 	t.load.leaving.Store(r.Leaving)
+	t.load.evacuated.Store(r.Evacuated)
 	t.load.lastReport.Store(int64(now))
 	t.load.complete.Store(r.Complete)
 	t.load.reportCount.Add(1)
@@ -150,6 +157,9 @@
 	return now - time.Duration(t.load.lastReport.Load())
 }
 
+// ReportsEvacuated reports whether the target's agent takes no openings because of an evacuation.
+func (t *Target) ReportsEvacuated() bool { return t.load.evacuated.Load() }
+
 // Pending returns the number of requests that ran or waited at the last report.
 func (t *Target) Pending() uint32 { return t.load.pending.Load() }
 
@@ -167,7 +177,10 @@
 func (t *Target) onHost(host netip.Addr) bool { return t != nil && t.Agent.Addr() == host }
 
 // acceptsFlows reports whether the target may get new flows.
-func (t *Target) acceptsFlows() bool {
+func (t *Target) acceptsFlows() bool { return t.usable() && !t.evacuated.Load() }
+
+// usable reports whether the target may get new flows unless its zone is evacuated.
+func (t *Target) usable() bool {
 	return t.Confirmed() && !t.draining.Load() && !t.removed.Load()
 }
 
@@ -188,6 +201,36 @@
 	hosts          map[netip.Addr]*host
 	// answerTimeouts is the answer timeout of each service.
 	answerTimeouts map[string]time.Duration
+	evacuations    registry.Evacuations
+}
+
+// Evacuate sets the evacuated zones of a view that is not in use yet.
+func (v *View) Evacuate(zones registry.Evacuations) {
+	v.evacuations = zones
+	for _, targets := range v.services {
+		for _, t := range targets {
+			t.evacuated.Store(zones.Contains(t.Info.Zone))
+		}
+	}
+}
+
+// Evacuation reports whether the zone of a target is evacuated, as of the returned position of
+// the store.
+func (v *View) Evacuation(t *Target) (position registry.Position, evacuated bool) {
+	return v.evacuations.Position(), v.evacuations.Contains(t.Info.Zone)
+}
+
+// EvacuatedTargets returns the number of targets in evacuated zones.
+func (v *View) EvacuatedTargets() int {
+	n := 0
+	for _, targets := range v.services {
+		for _, t := range targets {
+			if v.evacuations.Contains(t.Info.Zone) {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // Targets returns all targets of the view, also those that their agent disowns.
