Evacuation of a zone: read with the routes, pulled by peers, stated to agents

Change: one watch and one ranged read of the operator's prefix replace those of the configuration, so that the number of calls stays; digests carry the position, pulls the list; a balancer has no view before it knows the zones. What peers of an earlier build say of the store does not count, since they do not read them. Agents are told at each change, and in pings while their zone is evacuated or they take it for that. Ruled out: the statement in every ping, 14 bytes to each target every 0.9 s also where nothing is evacuated. Events 236, 618, 619, metrics zones_evacuated and targets_evacuated, flows of agents. Tests that use the changed interfaces follow them; digests of the simulated fleet now have a list of zones, as those of real balancers.

--- a/internal/explainlog/explainlog.go
+++ b/internal/explainlog/explainlog.go
@@ -102,7 +102,7 @@
 	telemetry.ProcessStarted.Number, telemetry.StopBegun.Number, telemetry.Stopped.Number, telemetry.RoutesAccepted.Number,
 	telemetry.TargetChanged.Number, telemetry.StoreUnreachable.Number, telemetry.StoreReachable.Number,
 	telemetry.OwnLinkDoubted.Number, telemetry.OwnLinkTrusted.Number, telemetry.TargetResponds.Number,
-	telemetry.TargetFailing.Number,
+	telemetry.TargetFailing.Number, telemetry.ZoneEvacuated.Number, telemetry.TargetEvacuated.Number, telemetry.TargetEmpty.Number,
 }
 
 // Explain collects the report on a request, given by its identifier or by a
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -61,6 +61,8 @@
 	Routes uint64
 	// Targets is the position of the table.
 	Targets registry.Position
+	// Evacuations is the position of the list of evacuated zones.
+	Evacuations registry.Position
 	// ContactAge is the age of the store's last response to any reader, as far as
 	// the balancer has received it. It is Never if there was none.
 	ContactAge time.Duration
@@ -73,7 +75,7 @@
 	// Retaining is set while it has lapsed targets, or while what it knows from before a
 	// restore of the store takes precedence over the store's entries.
 	Retaining bool
-	// Serving is set if it has routes and targets.
+	// Serving is set if it has routes, targets and the list of evacuated zones.
 	Serving bool
 	// Zone is its availability zone.
 	Zone string
@@ -83,6 +85,25 @@
 	Peers []netip.AddrPort
 }
 
+// Versions are the versions of what a balancer has; 0 stands for nothing.
+type Versions struct {
+	// Routes is the version of the configuration.
+	Routes uint64
+	// Targets and Evacuations are the positions of the table and of the list of evacuated
+	// zones.
+	Targets, Evacuations registry.Position
+}
+
+// complete reports whether the balancer has all that it needs to decide on flows.
+func (v Versions) complete() bool {
+	return v.Routes != 0 && v.Targets.Revision != 0 && v.Evacuations.Revision != 0
+}
+
+// newer reports whether a peer has something newer.
+func (d *Digest) newer(than Versions) bool {
+	return d.Routes > than.Routes || d.Targets.After(than.Targets) || d.Evacuations.After(than.Evacuations)
+}
+
 // Never is the age of a response that was never received.
 const Never = time.Duration(1<<62 - 1)
 
@@ -190,9 +211,12 @@
 // EnterEpoch records the epoch of the table of this balancer.
 func (s *Set) EnterEpoch(epoch uint64) { s.epoch = epoch }
 
-// isOutdated reports whether a peer has not noticed yet that the store was restored. What it
-// says of the store confirms nothing about the current epoch.
-func (s *Set) isOutdated(p *peer) bool { return p.digest.Targets.Epoch < s.epoch }
+// isOutdated reports whether a peer has not noticed yet that the store was restored, or does not
+// read all that this balancer needs, as those of an earlier build. What it says of the store does
+// not confirm what this balancer has.
+func (s *Set) isOutdated(p *peer) bool {
+	return p.digest.Targets.Epoch < s.epoch || p.digest.Evacuations.Revision == 0
+}
 
 // updateContact moves the time of the store's last response forward.
 func (s *Set) updateContact(at time.Duration) {
@@ -269,21 +293,21 @@
 
 // Digest returns the state that this balancer sends to its peers. It lists some of them
 // in turn.
-func (s *Set) Digest(now time.Duration, incarnation, routes uint64, targets registry.Position) Digest {
-	return s.digest(now, incarnation, routes, targets, maxDigestPeers)
+func (s *Set) Digest(now time.Duration, incarnation uint64, have Versions) Digest {
+	return s.digest(now, incarnation, have, maxDigestPeers)
 }
 
 // Introduction returns the state that this balancer sends to a new peer, which learns the
 // other ones from it.
-func (s *Set) Introduction(now time.Duration, incarnation, routes uint64, targets registry.Position) Digest {
-	return s.digest(now, incarnation, routes, targets, maxIntroducedPeers)
+func (s *Set) Introduction(now time.Duration, incarnation uint64, have Versions) Digest {
+	return s.digest(now, incarnation, have, maxIntroducedPeers)
 }
 
-func (s *Set) digest(now time.Duration, incarnation, routes uint64, targets registry.Position, maxListed int) Digest {
+func (s *Set) digest(now time.Duration, incarnation uint64, have Versions, maxListed int) Digest {
 	d := Digest{
-		Incarnation: incarnation, Routes: routes, Targets: targets,
+		Incarnation: incarnation, Routes: have.Routes, Targets: have.Targets, Evacuations: have.Evacuations,
 		ContactAge: s.ContactAge(now), Reading: s.reading, Failing: s.failing, Leaving: s.leaving,
-		Serving: routes != 0 && targets.Revision != 0, Zone: s.self.Zone, Capacity: s.self.Capacity,
+		Serving: have.complete(), Zone: s.self.Zone, Capacity: s.self.Capacity,
 	}
 	live := s.Live(now)
 	for range min(len(live), maxListed) {
@@ -359,13 +383,13 @@
 	return out
 }
 
-// Newer returns a live peer that has a newer version of the configuration or
-// the table, if there is one. It prefers readers, then the lowest address.
-func (s *Set) Newer(now time.Duration, routes uint64, targets registry.Position) (netip.AddrPort, bool) {
+// Newer returns a live peer that has something newer, if there is one. It prefers readers, then
+// the lowest address.
+func (s *Set) Newer(now time.Duration, have Versions) (netip.AddrPort, bool) {
 	var best netip.AddrPort
 	found, reading := false, false
 	for address, p := range s.peers {
-		if p.digest.Routes <= routes && !p.digest.Targets.After(targets) || !s.live(now, p) {
+		if !p.digest.newer(have) || !s.live(now, p) {
 			continue
 		}
 		reads := s.reads(now, p)
@@ -453,7 +477,7 @@
 // PullFailed drops the versions that a peer sent, until its next digest.
 func (s *Set) PullFailed(from netip.AddrPort) {
 	if p := s.peers[from]; p != nil {
-		p.digest.Routes, p.digest.Targets, p.digest.Retaining = 0, registry.Position{}, false
+		p.digest.Routes, p.digest.Targets, p.digest.Evacuations, p.digest.Retaining = 0, registry.Position{}, registry.Position{}, false
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -66,11 +66,11 @@
 				s.StopReading()
 			}
 			for _, to := range s.Due(f.now, false) {
-				d := s.Digest(f.now, 1, 0, registry.Position{})
+				d := s.Digest(f.now, 1, Versions{Evacuations: at(1, 1)})
 				f.digests++
 				f.addresses += len(d.Peers)
 				if other := f.sets[to]; other != nil && !f.down[to] && other.Receive(f.now, self, d) {
-					s.Receive(f.now, to, other.Introduction(f.now, 1, 0, registry.Position{}))
+					s.Receive(f.now, to, other.Introduction(f.now, 1, Versions{Evacuations: at(1, 1)}))
 				}
 			}
 		}
@@ -197,7 +197,7 @@
 		s.Receive(0, address(i), Digest{Zone: zone(i)})
 	}
 	c.Check(s.Due(1, true), qt.HasLen, 2*groupFanout)
-	c.Check(len(s.Introduction(1, 1, 0, registry.Position{}).Peers) <= maxIntroducedPeers, qt.IsTrue)
+	c.Check(len(s.Introduction(1, 1, Versions{}).Peers) <= maxIntroducedPeers, qt.IsTrue)
 }
 
 // Guards against a large fleet in which live balancers count as lost, a lost one is not
@@ -240,16 +240,19 @@
 func TestPullSource(t *testing.T) {
 	c := qt.New(t)
 	s := New(0, Self{Address: address(0)}, nil)
-	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(1, 9)})
-	_, found := s.Newer(0, 4, at(1, 9))
+	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(1, 9), Evacuations: at(1, 9)})
+	_, found := s.Newer(0, Versions{Routes: 4, Targets: at(1, 9), Evacuations: at(1, 9)})
 	c.Check(found, qt.IsFalse)
-	s.Receive(0, address(2), Digest{Routes: 5, Targets: at(1, 9), Reading: true})
-	s.Receive(0, address(3), Digest{Routes: 5, Targets: at(1, 9)})
-	from, found := s.Newer(0, 4, at(1, 9))
+	s.Receive(0, address(2), Digest{Routes: 5, Targets: at(1, 9), Evacuations: at(1, 9), Reading: true})
+	s.Receive(0, address(3), Digest{Routes: 5, Targets: at(1, 9), Evacuations: at(1, 9)})
+	from, found := s.Newer(0, Versions{Routes: 4, Targets: at(1, 9), Evacuations: at(1, 9)})
 	c.Check(found, qt.IsTrue)
 	c.Check(from, qt.Equals, address(2))
 	s.PullFailed(address(2))
-	from, _ = s.Newer(0, 4, at(1, 9))
+	from, _ = s.Newer(0, Versions{Routes: 4, Targets: at(1, 9), Evacuations: at(1, 9)})
+	c.Check(from, qt.Equals, address(3))
+	s.Receive(0, address(3), Digest{Routes: 4, Targets: at(1, 9), Evacuations: at(1, 10)})
+	from, _ = s.Newer(0, Versions{Routes: 5, Targets: at(1, 9), Evacuations: at(1, 9)})
 	c.Check(from, qt.Equals, address(3))
 }
 
@@ -260,11 +263,11 @@
 	s := New(0, Self{Address: address(0)}, nil)
 	s.EnterEpoch(1)
 	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(2, 3)})
-	from, found := s.Newer(0, 4, at(1, 9))
+	from, found := s.Newer(0, Versions{Routes: 4, Targets: at(1, 9)})
 	c.Check(found, qt.IsTrue)
 	c.Check(from, qt.Equals, address(1))
 	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(1, 12)})
-	_, found = s.Newer(0, 4, at(2, 3))
+	_, found = s.Newer(0, Versions{Routes: 4, Targets: at(2, 3)})
 	c.Check(found, qt.IsFalse)
 }
 
@@ -295,16 +298,31 @@
 	s.StopReading()
 	s.EnterEpoch(2)
 	now := 2 * time.Second
-	s.Receive(now, address(1), Digest{Targets: at(1, 40), ContactAge: 0, Reading: true})
+	s.Receive(now, address(1), Digest{Targets: at(1, 40), Evacuations: at(1, 40), ContactAge: 0, Reading: true})
 	c.Check(s.Fresh(now), qt.IsFalse)
 	c.Check(s.HasReader(now), qt.IsFalse)
 	c.Check(s.ShouldRead(now), qt.IsTrue)
-	s.Receive(now, address(1), Digest{Targets: at(2, 3), ContactAge: 0, Reading: true})
+	s.Receive(now, address(1), Digest{Targets: at(2, 3), Evacuations: at(2, 3), ContactAge: 0, Reading: true})
 	c.Check(s.Fresh(now), qt.IsTrue)
 	c.Check(s.HasReader(now), qt.IsTrue)
 	c.Check(s.ShouldRead(now), qt.IsFalse)
 }
 
+// Guards against a balancer that leaves the reading to peers of an earlier build, which do not
+// read the evacuated zones, and against one that takes traffic before it knows them.
+func TestPeerWithoutEvacuationsReadsForNobody(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(1, 9), Reading: true, ContactAge: 0})
+	c.Check(s.HasReader(0), qt.IsFalse)
+	c.Check(s.ShouldRead(0), qt.IsTrue)
+	c.Check(s.Fresh(0), qt.IsFalse)
+	have := Versions{Routes: 4, Targets: at(1, 9)}
+	c.Check(s.Digest(0, 1, have).Serving, qt.IsFalse)
+	have.Evacuations = at(1, 9)
+	c.Check(s.Digest(0, 1, have).Serving, qt.IsTrue)
+}
+
 // Guards against small balancers that limit the throughput of a zone, against a
 // zone with fewer than half of its balancers in rotation, and against a
 // balancer that stays out of rotation while it is needed.
@@ -401,7 +419,7 @@
 	s.countGroups()
 	b.ReportAllocs()
 	for b.Loop() {
-		s.Newer(1, 1, at(1, 1))
+		s.Newer(1, Versions{Routes: 1, Targets: at(1, 1)})
 		s.ShouldRead(1)
 	}
 }
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/peridotstall/peridotstall/internal/occupancy"
+	"github.com/peridotstall/peridotstall/internal/registry"
 	"github.com/peridotstall/peridotstall/internal/reports"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
@@ -75,12 +76,17 @@
 	out      transmitter
 	backend  atomic.Pointer[netip.AddrPort]
 
-	mu        sync.Mutex
-	tracker   *occupancy.Tracker
-	coverage  occupancy.Coverage
-	balancers []balancerEntry
-	byHost    map[netip.Addr]uint8
-	reports   *reports.Schedule
+	mu       sync.Mutex
+	tracker  *occupancy.Tracker
+	coverage occupancy.Coverage
+	// evacuation is that of the zone, evacuatedAt the time of its last change; emptied is
+	// set once the log says that the target has no open flows since then.
+	evacuation  occupancy.Evacuation
+	evacuatedAt time.Duration
+	emptied     bool
+	balancers   []balancerEntry
+	byHost      map[netip.Addr]uint8
+	reports     *reports.Schedule
 	// leaving is set while the agent stops, urgent if the next report goes to all balancers
 	// at once.
 	leaving, urgent bool
@@ -368,6 +374,7 @@
 	now := a.clock.now()
 	a.mu.Lock()
 	if segment.Tag(ping.ServiceTag) == a.tracker.Tag() {
+		a.handleEvacuation(now, ping.Evacuation, from)
 		a.tracker.SetSlots(int(ping.Slots))
 		if target := ping.Target; target != nil {
 			if d, ok := describe(target); ok {
@@ -396,6 +403,23 @@
 	}
 }
 
+// handleEvacuation records what a balancer says of the evacuation of the zone; nil if it does not
+// know. The caller must hold a.mu.
+func (a *Agent) handleEvacuation(now time.Duration, m *schema.LinkEvacuation, from netip.AddrPort) {
+	if m == nil {
+		return
+	}
+	position := registry.Position{Epoch: m.Epoch, Revision: m.Revision}
+	if !a.evacuation.Update(position, m.Evacuated) {
+		return
+	}
+	a.tracker.SetEvacuated(m.Evacuated)
+	a.evacuatedAt, a.emptied, a.urgent = now, false, true
+	a.metrics.EvacuatedZones.Set(a.options.Zone, position.String(), m.Evacuated)
+	a.options.Logger.Log(telemetry.TargetEvacuated, "evacuated", m.Evacuated, "epoch", m.Epoch, "revision", m.Revision,
+		"flows", a.tracker.Open(), "balancer", from)
+}
+
 // maxMilliseconds is the longest time that a time.Duration holds, in milliseconds.
 const maxMilliseconds = math.MaxInt64 / uint64(time.Millisecond)
 
@@ -445,6 +469,7 @@
 	if a.options.Service != service {
 		a.tracker = occupancy.New(service)
 		a.coverage = occupancy.NewCoverage(a.clock.now(), time.Now().UnixMilli())
+		a.tracker.SetEvacuated(a.evacuation.Evacuated())
 	}
 	a.options.Service = service
 	a.backend.Store(&backend)
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -52,7 +52,7 @@
 		Pending: m.Pending, MeanPending: float64(m.MeanPendingMilli) / 1000, Failing: float64(m.FailingMilli) / 1000,
 		ServiceTime:   time.Duration(m.ServiceMicros) * time.Microsecond,
 		ExcludedRanks: excludedRanks(m.ExcludedShares),
-		Unresponsive:  m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete,
+		Unresponsive:  m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete, Evacuated: m.Evacuated,
 	})
 }
 
@@ -139,8 +139,9 @@
 func (b *Balancer) handleDigest(m *schema.LinkDigest, from netip.AddrPort) {
 	d := peers.Digest{
 		Incarnation: m.Incarnation, Routes: m.RoutesVersion, ContactAge: peers.Never,
-		Targets: registry.Position{Epoch: m.TargetsEpoch, Revision: m.TargetsRevision},
-		Reading: m.Reading, Failing: m.Failing, Leaving: m.Leaving,
+		Targets:     registry.Position{Epoch: m.TargetsEpoch, Revision: m.TargetsRevision},
+		Evacuations: registry.Position{Epoch: m.EvacuationsEpoch, Revision: m.EvacuationsRevision},
+		Reading:     m.Reading, Failing: m.Failing, Leaving: m.Leaving,
 		Serving: m.Serving, Zone: m.Zone, Capacity: m.Capacity, Retaining: m.Retaining,
 	}
 	if m.GetContactAgeMs() > maxMilliseconds {
@@ -175,10 +176,12 @@
 // tickControl runs in the control task every tickInterval.
 func (b *Balancer) tickControl(now time.Duration) {
 	b.mu.Lock()
+	zones := b.registry.Evacuations()
 	if b.registry.Tick(now) {
 		b.publishView(now)
 	}
-	_, behind := b.peers.Newer(now, b.registry.Routes().Version, b.registry.Table().Position())
+	zonesNow := b.registry.Evacuations()
+	_, behind := b.peers.Newer(now, b.versions())
 	b.confirmed.Store(b.peers.Fresh(now) && !behind && now >= b.partialUntil)
 	b.divert.Store(b.peers.ShouldDivert(now))
 	due := b.peers.Due(now, false)
@@ -191,6 +194,7 @@
 	b.metrics.ViewAge.Set(age)
 	b.updateReading(now)
 	b.mu.Unlock()
+	b.evacuationsChanged(now, zones, zonesNow, "restore")
 	for _, peer := range lost {
 		b.options.Logger.Log(telemetry.PeerLost, "peer", peer)
 	}
@@ -203,12 +207,26 @@
 	b.pull(now)
 }
 
-// publishView gives the forwarding task a new view. The caller must hold b.mu.
+// versions returns the versions of what this balancer has. The caller must hold b.mu.
+func (b *Balancer) versions() peers.Versions {
+	return peers.Versions{
+		Routes: b.registry.Routes().Version, Targets: b.registry.Table().Position(),
+		Evacuations: b.registry.Evacuations().Position(),
+	}
+}
+
+// publishView gives the forwarding task a new view. There is none before the evacuated zones
+// are known: an opening could go to one of them. The caller must hold b.mu.
 func (b *Balancer) publishView(now time.Duration) {
-	routes, table := b.registry.Routes(), b.registry.Table()
-	usable := table
-	usable.Targets = withoutBalancers(table.Targets, b.balancerHosts(now))
-	b.view.Store(steering.NewView(now, b.view.Load(), routes, usable, b.options.Packets.Port()))
+	routes, table, zones := b.registry.Routes(), b.registry.Table(), b.registry.Evacuations()
+	if zones.Revision != 0 {
+		usable := table
+		usable.Targets = withoutBalancers(table.Targets, b.balancerHosts(now))
+		view := steering.NewView(now, b.view.Load(), routes, usable, b.options.Packets.Port())
+		view.Evacuate(zones)
+		b.view.Store(view)
+		b.metrics.EvacuatedTargets.Set(int64(view.EvacuatedTargets()))
+	}
 	b.metrics.Version.Set(int64(routes.Version))
 	b.metrics.Epoch.Set(int64(table.Epoch))
 	b.metrics.Revision.Set(int64(table.Revision))
@@ -247,7 +265,7 @@
 		host := t.Agent.Addr().As4()
 		restored, overdue := t.FlowsRestored(), round.Overdue(t.ReportAge(now))
 		if !restored || round.Includes(binary.BigEndian.Uint32(host[:]), t.ReportAge(now)) {
-			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored || overdue)
+			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored || overdue, false)
 		}
 	}
 }
@@ -264,20 +282,24 @@
 	b.mu.Unlock()
 	for _, t := range view.Targets() {
 		if !t.Reported() && t.ReportAge(now) < unreportedPingTimeout {
-			b.sendPing(now, view, t, wanted, true)
+			b.sendPing(now, view, t, wanted, true, false)
 		}
 	}
 }
 
 // sendPing requests reports from the agent of a target, with at most the wanted time
 // between two. Describe adds the published data of the target, unless the agent has yet to
-// say that the target is beside it.
-func (b *Balancer) sendPing(now time.Duration, view *steering.View, t *steering.Target, wanted time.Duration, describe bool) {
+// say that the target is beside it. A statement on the evacuation of the zone is added while it
+// is evacuated or the agent takes it for that, and if stating is set.
+func (b *Balancer) sendPing(now time.Duration, view *steering.View, t *steering.Target, wanted time.Duration, describe, stating bool) {
 	ping := &schema.LinkPing{ReportIntervalMs: uint32(wanted / time.Millisecond)}
 	switch {
 	case t.Confirmed():
 		t.AwaitReports(now, wanted)
 		ping.Slots, ping.ServiceTag = uint32(max(t.Info.Slots, 0)), uint32(t.Tag)
+		if position, evacuated := view.Evacuation(t); evacuated || t.ReportsEvacuated() || stating {
+			ping.Evacuation = &schema.LinkEvacuation{Epoch: position.Epoch, Revision: position.Revision, Evacuated: evacuated}
+		}
 		if describe {
 			ping.Target = &schema.LinkTarget{
 				PatienceMs:  uint64(view.AnswerTimeout(t.Info.Service) / time.Millisecond),
@@ -305,7 +327,7 @@
 		return
 	}
 	b.mu.Lock()
-	d := b.peers.Digest(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
+	d := b.peers.Digest(now, b.incarnation, b.versions())
 	d.Retaining = b.registry.KnowsBeyondStore(now)
 	b.mu.Unlock()
 	b.out.messages(b.link, digestMessage(d), to)
@@ -314,7 +336,7 @@
 // introduce sends a new peer the state of this balancer and the addresses of its peers.
 func (b *Balancer) introduce(now time.Duration, to netip.AddrPort) {
 	b.mu.Lock()
-	d := b.peers.Introduction(now, b.incarnation, b.registry.Routes().Version, b.registry.Table().Position())
+	d := b.peers.Introduction(now, b.incarnation, b.versions())
 	d.Retaining = b.registry.KnowsBeyondStore(now)
 	b.mu.Unlock()
 	b.out.message(b.link, digestMessage(d), to)
@@ -324,6 +346,7 @@
 func digestMessage(d peers.Digest) *schema.LinkMessage {
 	m := &schema.LinkDigest{
 		Incarnation: d.Incarnation, RoutesVersion: d.Routes, TargetsEpoch: d.Targets.Epoch, TargetsRevision: d.Targets.Revision,
+		EvacuationsEpoch: d.Evacuations.Epoch, EvacuationsRevision: d.Evacuations.Revision,
 		Reading: d.Reading, Failing: d.Failing, Leaving: d.Leaving,
 		Serving: d.Serving, Zone: d.Zone, Capacity: d.Capacity, Retaining: d.Retaining,
 	}
@@ -359,6 +382,66 @@
 	}
 }
 
+// acceptEvacuations applies a list of evacuated zones if it is newer.
+func (b *Balancer) acceptEvacuations(list registry.Evacuations, source string) {
+	b.updateEvacuations(source, func(now time.Duration) bool { return b.registry.AcceptEvacuations(now, list) })
+}
+
+// learnEvacuations adds the zones that a peer has retained from before a restore of the store.
+func (b *Balancer) learnEvacuations(from registry.Evacuations, source string) {
+	b.updateEvacuations(source, func(now time.Duration) bool { return b.registry.LearnEvacuations(now, from) })
+}
+
+// updateEvacuations publishes the view after an update of the evacuated zones that reports
+// success. Also a list with the same zones gives the statements to agents a later position.
+func (b *Balancer) updateEvacuations(source string, update func(now time.Duration) bool) {
+	now := b.clock.now()
+	b.mu.Lock()
+	before := b.registry.Evacuations()
+	if update(now) {
+		b.publishView(now)
+	}
+	after := b.registry.Evacuations()
+	b.mu.Unlock()
+	b.evacuationsChanged(now, before, after, source)
+}
+
+// evacuationsChanged logs and announces changes of the evacuated zones and pings the agents
+// there.
+func (b *Balancer) evacuationsChanged(now time.Duration, before, after registry.Evacuations, source string) {
+	changes := registry.EvacuationChanges(before, after)
+	if len(changes) == 0 {
+		return
+	}
+	changed := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		changed[c.Zone] = true
+		b.metrics.EvacuatedZones.Set(c.Zone, after.Position().String(), c.Evacuated)
+		if b.options.Logger.Allow(telemetry.ZoneEvacuated) {
+			b.options.Logger.Log(telemetry.ZoneEvacuated, "zone", c.Zone, "evacuated", c.Evacuated,
+				"epoch", after.Epoch, "revision", after.Revision, "source", source)
+		}
+	}
+	b.pingZones(now, changed)
+	b.announce(now)
+}
+
+// pingZones tells the agents in zones at once whether these are evacuated.
+func (b *Balancer) pingZones(now time.Duration, zones map[string]bool) {
+	view := b.view.Load()
+	if view == nil {
+		return
+	}
+	b.mu.Lock()
+	wanted := b.pings.Wanted()
+	b.mu.Unlock()
+	for _, t := range view.Pinged() {
+		if zones[t.Info.Zone] {
+			b.sendPing(now, view, t, wanted, false, true)
+		}
+	}
+}
+
 // acceptTable applies a table of targets if it is newer and announces it to the
 // peers.
 func (b *Balancer) acceptTable(table registry.Table, source string) {
--- a/internal/segnode/pull_test.go
+++ b/internal/segnode/pull_test.go
@@ -24,14 +24,14 @@
 
 func (silentSource) OnUnusable(func(registry.Unusable)) {}
 
-func (silentSource) Routes(ctx context.Context) (registry.Routes, registry.Position, error) {
+func (silentSource) Routes(ctx context.Context, _ time.Duration) (registry.Routes, registry.Evacuations, error) {
 	<-ctx.Done()
-	return registry.Routes{}, registry.Position{}, ctx.Err()
+	return registry.Routes{}, registry.Evacuations{}, ctx.Err()
 }
 
-func (silentSource) WatchRoutes(ctx context.Context, _ registry.Position, _ time.Duration) (*registry.Routes, registry.Position, error) {
+func (silentSource) WatchRoutes(ctx context.Context, _ registry.Position, _ time.Duration) (*registry.Routes, []registry.ZoneChange, registry.Position, error) {
 	<-ctx.Done()
-	return nil, registry.Position{}, ctx.Err()
+	return nil, nil, registry.Position{}, ctx.Err()
 }
 
 func (silentSource) Targets(ctx context.Context, _ time.Duration) (registry.Table, error) {
@@ -86,11 +86,8 @@
 	}
 }
 
-// Guards against a peer of another build, or with damaged state, whose entries a balancer uses
-// without the checks that those of the store pass: a port of 0, 2^62 slots, a start in a century,
-// a route without a service.
-func TestEntriesOfAPeerAreChecked(t *testing.T) {
-	c := qt.New(t)
+// startSilentBalancer starts a balancer whose store never responds.
+func startSilentBalancer(c *qt.C) *Balancer {
 	logger, err := telemetry.NewDecisionLog(io.Discard)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(logger.Close)
@@ -104,6 +101,15 @@
 		cancel()
 		b.Stop(ctx)
 	})
+	return b
+}
+
+// Guards against a peer of another build, or with damaged state, whose entries a balancer uses
+// without the checks that those of the store pass: a port of 0, 2^62 slots, a start in a century,
+// a route without a service.
+func TestEntriesOfAPeerAreChecked(t *testing.T) {
+	c := qt.New(t)
+	b := startSilentBalancer(c)
 	valid := registry.Target{ID: "a", Service: "web", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 3}
 	port, slots, future := valid, valid, valid
 	port.ID, port.Address = "b", netip.MustParseAddrPort("10.0.0.2:0")
@@ -143,3 +149,24 @@
 		c.Fatal("the pull does not end")
 	}
 }
+
+// Guards against a balancer that places openings before it knows the evacuated zones, because it
+// got the rest from a peer of an earlier build, and against zones that are not taken over from one
+// that knows them.
+func TestNoViewBeforeTheEvacuations(t *testing.T) {
+	c := qt.New(t)
+	b := startSilentBalancer(c)
+	endpoint, _ := segment.EndpointFrom(netip.MustParseAddrPort("198.18.0.1:443"))
+	routes := registry.Routes{Version: 3, Routes: []registry.Route{{Endpoint: endpoint, Shares: []registry.Share{{Service: "web", Weight: 1}}}}}
+	table := registry.Table{Epoch: 1, Revision: 9, Targets: []registry.Target{
+		{ID: "a", Service: "web", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.9:80"), Slots: 3}}}
+	c.Assert(b.pullFrom(startScriptedPeer(c, Knowledge{Routes: &routes, Table: &table}), Have{}), qt.IsNil)
+	c.Check(b.view.Load(), qt.IsNil)
+	c.Check(b.Ready(), qt.IsFalse)
+	zones := registry.Evacuations{Epoch: 1, Revision: 9, Zones: []string{"z"}}
+	c.Assert(b.pullFrom(startScriptedPeer(c, Knowledge{Evacuations: &zones}), Have{}), qt.IsNil)
+	view := b.view.Load()
+	c.Assert(view, qt.IsNotNil)
+	c.Check(view.EvacuatedTargets(), qt.Equals, 1)
+	c.Check(b.Ready(), qt.IsTrue)
+}
--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -169,26 +169,34 @@
 	}
 }
 
-// followRoutes keeps the configuration current until ctx is done.
+// followRoutes keeps the configuration and the evacuated zones current until ctx is done.
 func (b *Balancer) followRoutes(ctx context.Context) {
 	source := b.options.Source
+	var zones registry.Evacuations
 	b.follow(ctx, "routes", func(ctx context.Context) (registry.Position, error) {
-		call, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		routes, position, err := source.Routes(call)
+		routes, read, err := source.Routes(ctx, readTimeout)
 		if err != nil {
 			return registry.Position{}, err
 		}
+		zones = read
+		b.acceptEvacuations(zones, "store")
 		if routes.Version != 0 {
 			b.acceptRoutes(routes, "store")
 		}
-		return position, nil
+		return zones.Position(), nil
 	}, func(ctx context.Context, after registry.Position) (registry.Position, bool, error) {
-		routes, position, err := source.WatchRoutes(ctx, after, watchTimeout)
-		if err == nil && routes != nil {
+		routes, changes, position, err := source.WatchRoutes(ctx, after, watchTimeout)
+		if err != nil {
+			return registry.Position{}, false, err
+		}
+		if len(changes) > 0 {
+			zones = zones.Apply(changes, position.Revision)
+			b.acceptEvacuations(zones, "store")
+		}
+		if routes != nil {
 			b.acceptRoutes(*routes, "store")
 		}
-		return position, routes != nil, err
+		return position, routes != nil || len(changes) > 0, nil
 	})
 }
 
--- a/internal/segnode/reader_test.go
+++ b/internal/segnode/reader_test.go
@@ -1,9 +1,11 @@
 package segnode
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,3 +57,69 @@
 		c.Check(source.calls >= limit/4, qt.IsTrue, qt.Commentf("%d calls in %s", source.calls, duration))
 	})
 }
+
+// operatorStep is a response of the store on what the operator has published.
+type operatorStep struct {
+	read    registry.Evacuations
+	changes []registry.ZoneChange
+	// revision is that of the response to a watch; 0 for a lost history.
+	revision uint64
+}
+
+// operatorSource returns responses in order, and ends the reader after the last one.
+type operatorSource struct {
+	silentSource
+	steps []operatorStep
+	after func()
+}
+
+func (s *operatorSource) next() operatorStep {
+	if len(s.steps) == 0 {
+		s.after()
+		return operatorStep{}
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step
+}
+
+func (s *operatorSource) Routes(context.Context, time.Duration) (registry.Routes, registry.Evacuations, error) {
+	return registry.Routes{}, s.next().read, nil
+}
+
+func (s *operatorSource) WatchRoutes(context.Context, registry.Position, time.Duration) (*registry.Routes, []registry.ZoneChange, registry.Position, error) {
+	step := s.next()
+	if step.revision == 0 {
+		return nil, nil, registry.Position{}, ErrHistoryLost
+	}
+	return nil, step.changes, registry.Position{Epoch: 1, Revision: step.revision}, nil
+}
+
+// Guards against evacuations that a reader misses or reports again: in changes, and in a list that it
+// reads as a whole because the store has lost its history.
+func TestReaderFollowsEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		logger, err := telemetry.NewDecisionLog(&out)
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		source := &operatorSource{after: cancel, steps: []operatorStep{
+			{read: registry.Evacuations{Epoch: 1, Revision: 9, Zones: []string{"a"}}},
+			{revision: 10},
+			{revision: 12, changes: []registry.ZoneChange{{Zone: "a"}, {Zone: "a", Evacuated: true}}},
+			{},
+			{read: registry.Evacuations{Epoch: 1, Revision: 20, Zones: []string{"a"}}},
+			{revision: 21, changes: []registry.ZoneChange{{Zone: "b", Evacuated: true}}},
+		}}
+		b := &Balancer{
+			options: BalancerOptions{Common: Common{Logger: logger}, Source: source}, clock: newClock(), registry: registry.New(),
+			metrics: telemetry.NewSegmentMetrics("balancer/evacuation-test"),
+			peers:   peers.New(0, peers.Self{Address: netip.MustParseAddrPort("127.0.0.1:7000")}, nil),
+		}
+		b.followRoutes(ctx)
+		logger.Close()
+		c.Check(b.registry.Evacuations(), qt.DeepEquals, registry.Evacuations{Epoch: 1, Revision: 21, Zones: []string{"a", "b"}})
+		c.Check(strings.Count(out.String(), telemetry.ZoneEvacuated.Name), qt.Equals, 2, qt.Commentf(out.String()))
+	})
+}
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/peridotstall/peridotstall/internal/occupancy"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
@@ -26,7 +27,12 @@
 		FailingMilli:     uint32(a.tracker.Failing(now) * 1000),
 		ServiceMicros:    uint32(a.tracker.ServiceTime().Microseconds()),
 		ExcludedShares:   excludedShares(a.tracker.ExcludedRanks()),
+		Evacuated:        a.evacuation.Evacuated(),
 	}
+	open := a.tracker.Open()
+	empty := load.Evacuated && !a.emptied && load.Complete && open == 0 && load.Pending == 0
+	a.emptied = a.emptied || empty
+	evacuatedFor := now - a.evacuatedAt
 	changed := load.Unresponsive != a.loggedUnresponsive
 	// Reports that follow a ping name the target, for the balancers in naming.
 	var to, naming []netip.AddrPort
@@ -48,6 +54,11 @@
 	a.loggedFailing = startedFailing || a.loggedFailing && !stoppedFailing
 	a.mu.Unlock()
 	a.metrics.Pending.Set(int64(load.Pending))
+	a.metrics.Flows.Set(int64(open))
+	if empty {
+		a.options.Logger.Log(telemetry.TargetEmpty, "waited", evacuatedFor.Round(time.Millisecond),
+			"refused", a.metrics.Reason(int(occupancy.Evacuated)).Value())
+	}
 	if changed {
 		a.options.Logger.Log(telemetry.TargetResponds, "responds", !load.Unresponsive, "pending", load.Pending)
 	}
--- a/internal/segnode/segnode.go
+++ b/internal/segnode/segnode.go
@@ -40,12 +40,14 @@
 	// OnUnusable sets the function that is called for each entry, or part of one, that is
 	// left out because it cannot be used. It is called before the other methods.
 	OnUnusable(report func(registry.Unusable))
-	// Routes returns the configuration and the position at which it was read. The version
-	// of the configuration is 0 if there is none or it cannot be read.
-	Routes(ctx context.Context) (registry.Routes, registry.Position, error)
-	// WatchRoutes waits for a configuration published after a position. The
-	// pointer is nil when none that can be read arrived within the timeout.
-	WatchRoutes(ctx context.Context, after registry.Position, timeout time.Duration) (*registry.Routes, registry.Position, error)
+	// Routes returns the configuration and the evacuated zones with the position at which they
+	// were read. The version of the configuration is 0 if there is none or it cannot be read.
+	// It may take several calls to the store, each of which is given up after the timeout.
+	Routes(ctx context.Context, timeout time.Duration) (registry.Routes, registry.Evacuations, error)
+	// WatchRoutes waits for a configuration or a change of evacuated zones published after a
+	// position, for at most the timeout. The pointer is nil when no configuration that can be
+	// read arrived. It returns the position up to which both are complete.
+	WatchRoutes(ctx context.Context, after registry.Position, timeout time.Duration) (*registry.Routes, []registry.ZoneChange, registry.Position, error)
 	// Targets returns the complete table. It may take several calls to the store, each of
 	// which is given up after the timeout.
 	Targets(ctx context.Context, timeout time.Duration) (registry.Table, error)
--- a/internal/segnode/sync.go
+++ b/internal/segnode/sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/peridotstall/peridotstall/internal/peers"
 	"github.com/peridotstall/peridotstall/internal/registry"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
 )
@@ -27,25 +28,40 @@
 	rpcService = "Balancer"
 )
 
-// Have holds the version of the routes and the epoch and revision of the table that
-// a balancer has.
+// Have holds the version of the routes and the epochs and revisions of the table and of the
+// list of evacuated zones that a balancer has.
 type Have struct {
-	Routes, Epoch, Targets uint64
-	// Learning asks for the table although it is not newer, because it holds what the
-	// peer has retained.
+	Routes, Epoch, Targets                uint64
+	EvacuationsEpoch, EvacuationsRevision uint64
+	// Learning asks for the table and the zones although they are not newer, because they
+	// hold what the peer has retained.
 	Learning bool
 }
 
+func haveOf(v peers.Versions) Have {
+	return Have{
+		Routes: v.Routes, Epoch: v.Targets.Epoch, Targets: v.Targets.Revision,
+		EvacuationsEpoch: v.Evacuations.Epoch, EvacuationsRevision: v.Evacuations.Revision,
+	}
+}
+
 // table returns the position of the table.
 func (h Have) table() registry.Position {
 	return registry.Position{Epoch: h.Epoch, Revision: h.Targets}
 }
 
+// evacuations returns the position of the list of evacuated zones.
+func (h Have) evacuations() registry.Position {
+	return registry.Position{Epoch: h.EvacuationsEpoch, Revision: h.EvacuationsRevision}
+}
+
 // Knowledge is the newer state that a peer returns. A part that is not newer is
 // nil.
 type Knowledge struct {
 	Routes *registry.Routes
 	Table  *registry.Table
+	// Evacuations is nil also if the peer is of an earlier build, which does not read them.
+	Evacuations *registry.Evacuations
 }
 
 // syncService serves the pulls of other balancers.
@@ -62,6 +78,9 @@
 	if table := s.balancer.registry.TableToSend(s.balancer.clock.now()); have.Learning || table.Position().After(have.table()) {
 		reply.Table = &table
 	}
+	if zones := s.balancer.registry.EvacuationsToSend(s.balancer.clock.now()); have.Learning || zones.Position().After(have.evacuations()) {
+		reply.Evacuations = &zones
+	}
 	return nil
 }
 
@@ -104,11 +123,11 @@
 // pull fetches newer state from a peer in the background, one pull at a time.
 func (b *Balancer) pull(now time.Duration) {
 	b.mu.Lock()
-	position := b.registry.Table().Position()
-	have := Have{Routes: b.registry.Routes().Version, Epoch: position.Epoch, Targets: position.Revision}
-	from, found := b.peers.Newer(now, have.Routes, position)
+	versions := b.versions()
+	have := haveOf(versions)
+	from, found := b.peers.Newer(now, versions)
 	if !found && !b.registry.KnowsBeyondStore(now) {
-		from, found = b.peers.Retainer(now, position.Epoch)
+		from, found = b.peers.Retainer(now, versions.Targets.Epoch)
 		have.Learning = found
 	}
 	start := found && !b.pulling
@@ -148,6 +167,14 @@
 	if err := client.Call(rpcService+".Pull", have, &newer); err != nil {
 		return errors.Wrapf(err, "pull from balancer %s", peer)
 	}
+	if newer.Evacuations != nil {
+		zones := newer.Evacuations.Usable(b.recordUnusable)
+		if have.Learning {
+			b.learnEvacuations(zones, peer.String())
+		} else {
+			b.acceptEvacuations(zones, peer.String())
+		}
+	}
 	if newer.Routes != nil {
 		b.acceptRoutes(newer.Routes.Usable(b.recordUnusable), peer.String())
 	}
--- a/internal/segnode/view_test.go
+++ b/internal/segnode/view_test.go
@@ -24,6 +24,7 @@
 		targets = append(targets, registry.Target{ID: address, Service: "web", Address: netip.MustParseAddrPort(address), Slots: 1})
 	}
 	r.AcceptTable(0, registry.Table{Revision: 1, Targets: targets})
+	r.AcceptEvacuations(0, registry.Evacuations{Revision: 1})
 	b := &Balancer{
 		options: BalancerOptions{Common: Common{Link: self, Packets: self}}, registry: r,
 		metrics: telemetry.NewSegmentMetrics("balancer/view-test"),
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -142,6 +142,8 @@
 		Fields:  []string{"target", "service", "address", "agent_port", "named"}, Limited: true}
 	StoreCallFailed = Event{Number: 235, Level: log.InfoLevel, Name: "store_call_failed",
 		Message: "another call to the unreachable store failed", Fields: []string{"waited", "error"}, Limited: true}
+	ZoneEvacuated = Event{Number: 236, Level: log.InfoLevel, Name: "zone_evacuated",
+		Message: "availability zone evacuated, or taken back", Fields: []string{"zone", "evacuated", "epoch", "revision", "source"}, Limited: true}
 	RoutesUnusable = Event{Number: 228, Level: log.ErrorLevel, Name: "routes_unusable",
 		Message: "published configuration cannot be read; the last one stays in force", Fields: []string{"key", "error"}}
 )
@@ -184,6 +186,11 @@
 		Message: "target started or stopped failing a share of its requests", Fields: []string{"failing", "share", "pending"}}
 	FlowsTold = Event{Number: 617, Level: log.InfoLevel, Name: "flows_told",
 		Message: "sending a restarted balancer its flows for the flow restore", Fields: []string{"balancer", "flows"}}
+	TargetEvacuated = Event{Number: 618, Level: log.InfoLevel, Name: "target_evacuated",
+		Message: "the target takes no new flows because its zone is evacuated, or takes them again",
+		Fields:  []string{"evacuated", "epoch", "revision", "flows", "balancer"}}
+	TargetEmpty = Event{Number: 619, Level: log.InfoLevel, Name: "target_empty",
+		Message: "no flow is open any more at the target of an evacuated zone", Fields: []string{"waited", "refused"}}
 	SendFailed = Event{Number: 620, Level: log.WarnLevel, Name: "send_failed",
 		Message: "datagram cannot be sent", Fields: []string{"to", "error"}}
 )
@@ -195,10 +202,11 @@
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed, RoutesUnusable,
-		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned, StoreCallFailed,
+		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned, StoreCallFailed, ZoneEvacuated,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
-		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold, SendFailed,
+		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold,
+		TargetEvacuated, TargetEmpty, SendFailed,
 	}
 }
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -46,6 +46,20 @@
 	}
 }
 
+// Texts are named texts. They are safe for concurrent use.
+type Texts struct{ values expvar.Map }
+
+// Set sets the text of a name, or removes the name.
+func (t *Texts) Set(name, text string, present bool) {
+	if !present {
+		t.values.Delete(name)
+		return
+	}
+	value := new(expvar.String)
+	value.Set(text)
+	t.values.Set(name, value)
+}
+
 // SegmentMetrics holds the metrics of a process in segment mode. SegmentMetricDescs
 // describes each of them. It is safe for concurrent use.
 type SegmentMetrics struct {
@@ -53,7 +67,8 @@
 	AnswersFailed, Resets, Malformed, SendErrors, Overruns     Counter
 	StoreCalls, StoreErrors, PullErrors, EntriesUnusable       Counter
 	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
-	RoutesUnusable                                             Gauge
+	RoutesUnusable, EvacuatedTargets                           Gauge
+	EvacuatedZones                                             Texts
 	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
 	ExpectedWait, WaitError                                    *Histogram
 
@@ -66,7 +81,7 @@
 // MetricDesc describes a published metric of the segment mode.
 type MetricDesc struct {
 	Name string
-	// Kind is counter, gauge, histogram or counters.
+	// Kind is counter, gauge, histogram, counters or texts.
 	Kind string
 	// Unit is the unit of the value.
 	Unit string
@@ -125,7 +140,7 @@
 		gaugeDesc("routes_unusable", "boolean",
 			"balancer: 1 if a published configuration could not be read and no later one is in force; set by the balancer that reads the store",
 			func(m *SegmentMetrics) *Gauge { return &m.RoutesUnusable }),
-		gaugeDesc("flows", "flows", "balancer: flows with a known target",
+		gaugeDesc("flows", "flows", "balancer: flows with a known target; agent: flows that are open at the target, as far as the agent has seen them",
 			func(m *SegmentMetrics) *Gauge { return &m.Flows }),
 		gaugeDesc("pending", "requests", "agent: requests running or queued at the target",
 			func(m *SegmentMetrics) *Gauge { return &m.Pending }),
@@ -137,6 +152,10 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Revision }),
 		gaugeDesc("targets", "targets", "balancer: targets in the current table",
 			func(m *SegmentMetrics) *Gauge { return &m.Targets }),
+		gaugeDesc("targets_evacuated", "targets", "balancer: targets in evacuated zones",
+			func(m *SegmentMetrics) *Gauge { return &m.EvacuatedTargets }),
+		{"zones_evacuated", "texts", "position", "evacuated zones, on an agent its own one, each with the epoch and revision of the store as of which this process learned it",
+			func(m *SegmentMetrics) expvar.Var { return &m.EvacuatedZones.values }},
 		gaugeDesc("beliefs_age_ms", "milliseconds",
 			"balancer: age of the latest response of the store to this process or to a peer; -1 if there is none",
 			func(m *SegmentMetrics) *Gauge { return &m.ViewAge }),
