Evacuation: any balancer shows whether a zone is empty

Cause: open flows of an evacuated zone were shown by each of its agents only. Change: reports of evacuated targets carry the number of open flows; zones_evacuated of each balancer has the targets of a zone, how many of their agents have confirmed the evacuation, and the flows that are open there. Ruled out: counting the flows that a balancer has placed, since others hold the rest.

--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -415,7 +415,7 @@
 	}
 	a.tracker.SetEvacuated(m.Evacuated)
 	a.evacuatedAt, a.emptied, a.urgent = now, false, true
-	a.metrics.EvacuatedZones.Set(a.options.Zone, position.String(), m.Evacuated)
+	a.metrics.EvacuatedZones.Set(a.options.Zone, position, m.Evacuated)
 	a.options.Logger.Log(telemetry.TargetEvacuated, "evacuated", m.Evacuated, "epoch", m.Epoch, "revision", m.Revision,
 		"flows", a.tracker.Open(), "balancer", from)
 }
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -34,6 +34,8 @@
 	meanSegmentBytes = 1200
 	// segmentCPUTime is the processor time of forwarding one segment.
 	segmentCPUTime = 25 * time.Microsecond
+	// evacuatedInterval is the time between two counts of the flows in evacuated zones.
+	evacuatedInterval = time.Second
 	// maxReports bounds the messages of agents that are queued for the
 	// forwarding task.
 	maxReports = 1024
@@ -100,6 +102,9 @@
 	// the forwarding task only.
 	waiting        []waitingSegment
 	waitingRetried time.Duration
+	// evacuatedCounted is the time of the last count of the flows in evacuated zones. It is
+	// used by the control task only.
+	evacuatedCounted time.Duration
 	// lastPacket is the time of the last segment from a caller.
 	lastPacket atomic.Int64
 
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -52,7 +52,8 @@
 		Pending: m.Pending, MeanPending: float64(m.MeanPendingMilli) / 1000, Failing: float64(m.FailingMilli) / 1000,
 		ServiceTime:   time.Duration(m.ServiceMicros) * time.Microsecond,
 		ExcludedRanks: excludedRanks(m.ExcludedShares),
-		Unresponsive:  m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete, Evacuated: m.Evacuated,
+		Unresponsive:  m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete,
+		Evacuated: m.Evacuated, OpenFlows: m.OpenFlows,
 	})
 }
 
@@ -195,6 +196,7 @@
 	b.updateReading(now)
 	b.mu.Unlock()
 	b.evacuationsChanged(now, zones, zonesNow, "restore")
+	b.countEvacuated(now)
 	for _, peer := range lost {
 		b.options.Logger.Log(telemetry.PeerLost, "peer", peer)
 	}
@@ -225,7 +227,6 @@
 		view := steering.NewView(now, b.view.Load(), routes, usable, b.options.Packets.Port())
 		view.Evacuate(zones)
 		b.view.Store(view)
-		b.metrics.EvacuatedTargets.Set(int64(view.EvacuatedTargets()))
 	}
 	b.metrics.Version.Set(int64(routes.Version))
 	b.metrics.Epoch.Set(int64(table.Epoch))
@@ -416,7 +417,7 @@
 	changed := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		changed[c.Zone] = true
-		b.metrics.EvacuatedZones.Set(c.Zone, after.Position().String(), c.Evacuated)
+		b.metrics.EvacuatedZones.Set(c.Zone, after.Position(), c.Evacuated)
 		if b.options.Logger.Allow(telemetry.ZoneEvacuated) {
 			b.options.Logger.Log(telemetry.ZoneEvacuated, "zone", c.Zone, "evacuated", c.Evacuated,
 				"epoch", after.Epoch, "revision", after.Revision, "source", source)
@@ -426,6 +427,18 @@
 	b.announce(now)
 }
 
+// countEvacuated publishes the figures of the evacuated zones.
+func (b *Balancer) countEvacuated(now time.Duration) {
+	view := b.view.Load()
+	if view == nil || now-b.evacuatedCounted < evacuatedInterval {
+		return
+	}
+	b.evacuatedCounted = now
+	for zone, count := range view.EvacuatedZones() {
+		b.metrics.EvacuatedZones.Count(zone, count.Targets, count.Confirmed, count.OpenFlows)
+	}
+}
+
 // pingZones tells the agents in zones at once whether these are evacuated.
 func (b *Balancer) pingZones(now time.Duration, zones map[string]bool) {
 	view := b.view.Load()
--- a/internal/segnode/pull_test.go
+++ b/internal/segnode/pull_test.go
@@ -167,6 +167,6 @@
 	c.Assert(b.pullFrom(startScriptedPeer(c, Knowledge{Evacuations: &zones}), Have{}), qt.IsNil)
 	view := b.view.Load()
 	c.Assert(view, qt.IsNotNil)
-	c.Check(view.EvacuatedTargets(), qt.Equals, 1)
+	c.Check(view.EvacuatedZones()["z"].Targets, qt.Equals, 1)
 	c.Check(b.Ready(), qt.IsTrue)
 }
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -30,6 +30,9 @@
 		Evacuated:        a.evacuation.Evacuated(),
 	}
 	open := a.tracker.Open()
+	if load.Evacuated {
+		load.OpenFlows = uint32(max(open, 0))
+	}
 	empty := load.Evacuated && !a.emptied && load.Complete && open == 0 && load.Pending == 0
 	a.emptied = a.emptied || empty
 	evacuatedFor := now - a.evacuatedAt
@@ -55,6 +58,9 @@
 	a.mu.Unlock()
 	a.metrics.Pending.Set(int64(load.Pending))
 	a.metrics.Flows.Set(int64(open))
+	if load.Evacuated {
+		a.metrics.EvacuatedZones.Count(a.options.Zone, 1, 1, open)
+	}
 	if empty {
 		a.options.Logger.Log(telemetry.TargetEmpty, "waited", evacuatedFor.Round(time.Millisecond),
 			"refused", a.metrics.Reason(int(occupancy.Evacuated)).Value())
--- a/internal/steering/evacuation_test.go
+++ b/internal/steering/evacuation_test.go
@@ -79,6 +79,18 @@
 	f.openingsGoTo(1000, "z1")
 }
 
+// Guards against a zone that looks empty although an agent has not heard of the evacuation or has
+// open flows.
+func TestEvacuatedZones(t *testing.T) {
+	f := newFixture(t, 6)
+	f.c.Check(f.engine.View().EvacuatedZones(), qt.HasLen, 0)
+	f.evacuate(2, "without targets", "z0")
+	f.targetOf(0).Report(f.now, Report{Evacuated: true, OpenFlows: 7})
+	f.targetOf(2).Report(f.now, Report{Evacuated: true, OpenFlows: 4})
+	f.c.Check(f.engine.View().EvacuatedZones(), qt.DeepEquals,
+		map[string]EvacuatedZone{"without targets": {}, "z0": {Targets: 3, Confirmed: 2, OpenFlows: 11}})
+}
+
 // Guards against callers that wait although no target may take their opening, and against a reset
 // because of an old list, or while a target may have accepted a copy.
 func TestAllTargetsEvacuated(t *testing.T) {
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -62,6 +62,8 @@
 	unresponsive, leaving atomic.Bool
 	// evacuated is set while the agent takes no openings because of an evacuation.
 	evacuated atomic.Bool
+	// openFlows is the number of flows that are open at the target while it is evacuated.
+	openFlows atomic.Uint32
 }
 
 // Report is the content of an agent's report.
@@ -81,6 +83,8 @@
 	Complete bool
 	// Evacuated is set while the agent takes no openings because its zone is evacuated.
 	Evacuated bool
+	// OpenFlows is the number of flows that are open at the target while Evacuated is set.
+	OpenFlows uint32
 }
 
 // Target is one incarnation of a target as a balancer sees it.
@@ -129,6 +133,7 @@
 	}
 	t.load.leaving.Store(r.Leaving)
 	t.load.evacuated.Store(r.Evacuated)
+	t.load.openFlows.Store(r.OpenFlows)
 	t.load.lastReport.Store(int64(now))
 	t.load.complete.Store(r.Complete)
 	t.load.reportCount.Add(1)
@@ -220,17 +225,37 @@
 	return v.evacuations.Position(), v.evacuations.Contains(t.Info.Zone)
 }
 
-// EvacuatedTargets returns the number of targets in evacuated zones.
-func (v *View) EvacuatedTargets() int {
-	n := 0
+// EvacuatedZone holds the figures of an evacuated zone.
+type EvacuatedZone struct {
+	// Targets is the number of targets there; the agents of Confirmed of them report that they
+	// take no openings, and these have OpenFlows open flows.
+	Targets, Confirmed, OpenFlows int
+}
+
+// EvacuatedZones returns the figures of the evacuated zones, also of those without targets.
+func (v *View) EvacuatedZones() map[string]EvacuatedZone {
+	zones := make(map[string]EvacuatedZone)
+	for _, zone := range slices.Concat(v.evacuations.Zones, v.evacuations.Retained) {
+		zones[zone] = EvacuatedZone{}
+	}
+	if len(zones) == 0 {
+		return nil
+	}
 	for _, targets := range v.services {
 		for _, t := range targets {
-			if v.evacuations.Contains(t.Info.Zone) {
-				n++
+			count, evacuated := zones[t.Info.Zone]
+			if !evacuated {
+				continue
+			}
+			count.Targets++
+			if t.ReportsEvacuated() {
+				count.Confirmed++
+				count.OpenFlows += int(t.load.openFlows.Load())
 			}
+			zones[t.Info.Zone] = count
 		}
 	}
-	return n
+	return zones
 }
 
 // Targets returns all targets of the view, also those that their agent disowns.
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -2,6 +2,8 @@
 
 import (
 	"expvar"
+	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -46,18 +48,55 @@
 	}
 }
 
-// Texts are named texts. They are safe for concurrent use.
-type Texts struct{ values expvar.Map }
+// EvacuatedZones holds the figures of evacuated zones. It is safe for concurrent use.
+type EvacuatedZones struct {
+	mu    sync.Mutex
+	zones map[string]evacuatedZone
+}
+
+// evacuatedZone holds the figures of an evacuated zone.
+type evacuatedZone struct {
+	// Since is the position of the store as of which the process learned the evacuation.
+	Since string `json:"since"`
+	// Targets is the number of targets there; the agents of Confirmed of them take no
+	// openings, and Flows flows are open there.
+	Targets   int `json:"targets"`
+	Confirmed int `json:"confirmed"`
+	Flows     int `json:"flows"`
+}
 
-// Set sets the text of a name, or removes the name.
-func (t *Texts) Set(name, text string, present bool) {
-	if !present {
-		t.values.Delete(name)
+// Set adds a zone that is evacuated since a position, or removes it.
+func (z *EvacuatedZones) Set(zone string, since fmt.Stringer, evacuated bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if !evacuated {
+		delete(z.zones, zone)
 		return
 	}
-	value := new(expvar.String)
-	value.Set(text)
-	t.values.Set(name, value)
+	if z.zones == nil {
+		z.zones = make(map[string]evacuatedZone)
+	}
+	z.zones[zone] = evacuatedZone{Since: since.String()}
+}
+
+// Count sets the numbers of targets in a zone, of those whose agents take no openings and of
+// the flows that are open there. It has no effect unless the zone is evacuated.
+func (z *EvacuatedZones) Count(zone string, targets, confirmed, flows int) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if figures, ok := z.zones[zone]; ok {
+		figures.Targets, figures.Confirmed, figures.Flows = targets, confirmed, flows
+		z.zones[zone] = figures
+	}
+}
+
+// figures returns the figures of all zones.
+func (z *EvacuatedZones) figures() any {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	figures := make(map[string]evacuatedZone, len(z.zones))
+	maps.Copy(figures, z.zones)
+	return figures
 }
 
 // SegmentMetrics holds the metrics of a process in segment mode. SegmentMetricDescs
@@ -67,8 +106,8 @@
 	AnswersFailed, Resets, Malformed, SendErrors, Overruns     Counter
 	StoreCalls, StoreErrors, PullErrors, EntriesUnusable       Counter
 	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
-	RoutesUnusable, EvacuatedTargets                           Gauge
-	EvacuatedZones                                             Texts
+	RoutesUnusable                                             Gauge
+	EvacuatedZones                                             EvacuatedZones
 	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
 	ExpectedWait, WaitError                                    *Histogram
 
@@ -81,7 +120,7 @@
 // MetricDesc describes a published metric of the segment mode.
 type MetricDesc struct {
 	Name string
-	// Kind is counter, gauge, histogram, counters or texts.
+	// Kind is counter, gauge, histogram, counters or zones.
 	Kind string
 	// Unit is the unit of the value.
 	Unit string
@@ -152,10 +191,8 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Revision }),
 		gaugeDesc("targets", "targets", "balancer: targets in the current table",
 			func(m *SegmentMetrics) *Gauge { return &m.Targets }),
-		gaugeDesc("targets_evacuated", "targets", "balancer: targets in evacuated zones",
-			func(m *SegmentMetrics) *Gauge { return &m.EvacuatedTargets }),
-		{"zones_evacuated", "texts", "position", "evacuated zones, on an agent its own one, each with the epoch and revision of the store as of which this process learned it",
-			func(m *SegmentMetrics) expvar.Var { return &m.EvacuatedZones.values }},
+		{"zones_evacuated", "zones", "targets and flows", "evacuated zones, of an agent its own one",
+			func(m *SegmentMetrics) expvar.Var { return expvar.Func(m.EvacuatedZones.figures) }},
 		gaugeDesc("beliefs_age_ms", "milliseconds",
 			"balancer: age of the latest response of the store to this process or to a peer; -1 if there is none",
 			func(m *SegmentMetrics) *Gauge { return &m.ViewAge }),
