--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -54,9 +54,11 @@
 	Busy
 	// Leaving: the agent is shutting down.
 	Leaving
+	// Evacuated: the zone of the target is evacuated.
+	Evacuated
 )
 
-var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving"}
+var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "evacuated"}
 
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -154,6 +156,8 @@
 	arrivalQueue flowQueue
 
 	pending int
+	// open counts the flows that the target holds and that have not ended.
+	open    int
 	mean    float64
 	updated time.Duration
 
@@ -162,6 +166,7 @@
 	unansweredSince time.Duration
 	lastProbe       time.Duration
 	leaving         bool
+	evacuated       bool
 
 	failures failures
 	work     work
@@ -210,6 +215,13 @@
 // that are arriving as many as its slots cannot serve meanwhile.
 func (t *Tracker) Pending() int { return t.load() }
 
+// SetEvacuated makes the tracker refuse openings while the zone of the target is evacuated.
+func (t *Tracker) SetEvacuated(evacuated bool) { t.evacuated = evacuated }
+
+// Open returns the number of flows that the target holds and that have not ended. A flow whose
+// end was not seen counts until it has been idle for flowTTL.
+func (t *Tracker) Open() int { return t.open }
+
 // Mean returns the mean number of pending requests over the last second.
 func (t *Tracker) Mean(now time.Duration) float64 {
 	t.advance(now)
@@ -238,6 +250,9 @@
 // pending reports whether the flow counts as a pending request.
 func (s flowState) pending() bool { return s.requestedAt != 0 || s.opening }
 
+// open reports whether the target holds the flow and it has not ended.
+func (s flowState) open() bool { return s.held && !s.ended }
+
 // retransmits reports whether a segment has no data beyond what the target already got.
 func (s flowState) retransmits(head segment.Head) bool {
 	return s.hasData && int32(head.DataEnd()-s.dataEnd) <= 0
@@ -264,6 +279,12 @@
 	stored := t.flows.Put(flow, after)
 	if !stored {
 		t.overflowedAt = now
+	} else if before.open() != after.open() {
+		if after.open() {
+			t.open++
+		} else {
+			t.open--
+		}
 	}
 	if before.arriving && !after.arriving || !stored {
 		delete(t.arrivals, flow)
@@ -307,6 +328,8 @@
 	switch {
 	case t.leaving:
 		return Leaving
+	case t.evacuated:
+		return Evacuated
 	case t.Unresponsive(now) && now-t.lastProbe < probeInterval:
 		return Unresponsive
 	case t.busy(now, mark, head.Source):
@@ -379,6 +402,9 @@
 			t.advance(now)
 			t.pending--
 		}
+		if s.open() {
+			t.open--
+		}
 		if s.startedAt != 0 {
 			t.startNext(now)
 		}
