Registry: time until targets are warm, limits of services

Cause: an entry's remaining time is that of its publication; a peer that passes it on, or a later table with the same entry, would begin anew. Ruled out: the start in Unix time, because clocks differ and step. Change: the registry records the time from which each cold incarnation is warm; the earliest one counts, a warm incarnation does not become cold again. Tables for peers carry what is left. Limits of peers are checked like those of the store.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -114,6 +114,7 @@
 		routes = append(routes, route)
 	}
 	r.Routes = routes
+	r.Warmups = usableWarmups(r.Warmups, report)
 	return r
 }
 
@@ -134,8 +135,8 @@
 	Draining bool
 	// Cold is set for a short time after the start, while the target is slow.
 	Cold bool
-	// WarmupLeft is the time until the target was warm, when the entry was published; 0
-	// if it is warm.
+	// WarmupLeft is the time until the target is warm, when the entry was published or the
+	// table was sent; 0 if it is warm.
 	WarmupLeft time.Duration
 	// Lapsed is set if the entry disappeared without a drain.
 	Lapsed bool
@@ -152,6 +153,8 @@
 		return errors.Errorf("slots %d: must be from 1 to %d", t.Slots, maxSlots)
 	case t.Born < 0:
 		return errors.Errorf("start %d ms: must not be negative", t.Born)
+	case t.WarmupLeft < 0 || t.WarmupLeft > MaxWarmup:
+		return errors.Errorf("time until it is warm %v: must be from 0 to %v", t.WarmupLeft, MaxWarmup)
 	case len(t.Zone) > maxNameBytes:
 		return errors.Errorf("zone of %d bytes: must have at most %d", len(t.Zone), maxNameBytes)
 	case !t.Address.Addr().Is4() || !isUnicast(t.Address.Addr()) || t.Address.Port() == 0:
@@ -250,11 +253,16 @@
 	retained   retained
 	// published holds the entries of the table as they arrived while retained is active.
 	published []Target
+	// warmUntil holds the times from which incarnations are warm that were cold.
+	warmUntil map[Incarnation]time.Duration
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{expires: make(map[string]time.Duration), departures: make(map[Incarnation]departure), retained: newRetained()}
+	return &Registry{
+		expires: make(map[string]time.Duration), departures: make(map[Incarnation]departure), retained: newRetained(),
+		warmUntil: make(map[Incarnation]time.Duration),
+	}
 }
 
 // Routes returns the configuration in force.
@@ -267,7 +275,7 @@
 // targets for longer than this one.
 func (r *Registry) TableToSend(now time.Duration) Table {
 	table := Table{
-		Epoch: r.table.Epoch, Revision: r.table.Revision, Targets: slices.Clone(r.table.Targets),
+		Epoch: r.table.Epoch, Revision: r.table.Revision, Targets: slices.Clone(r.WarmupsLeft(now, r.table.Targets)),
 		Retained: r.retained.toSend(now),
 	}
 	for i := range table.Targets {
@@ -318,6 +326,7 @@
 // merge returns the targets of a table together with the lapsed ones. In the first table of
 // an epoch, restored is set.
 func (r *Registry) merge(now time.Duration, incoming []Target, restored bool) []Target {
+	r.noteWarmups(now, incoming)
 	ids := make(map[string]bool, len(incoming))
 	places := make(map[place]bool, len(incoming))
 	targets := make([]Target, 0, len(incoming))
@@ -406,6 +415,7 @@
 			delete(r.expires, id)
 		}
 	}
+	r.forgetWarmups()
 	return changed
 }
 
--- /dev/null
+++ b/internal/registry/warmup_test.go
@@ -0,0 +1,79 @@
+package registry
+
+import (
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func coldTarget(id string, born int64, left time.Duration) Target {
+	return Target{
+		ID: id, Born: born, Service: "web", Slots: 1, Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Cold: left > 0, WarmupLeft: left,
+	}
+}
+
+// Guards against the time of an entry that begins anew with each table, with a peer that
+// passes it on, or with an earlier entry of the same incarnation.
+func TestWarmupOfAnEntryAges(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	at := func(seconds float64) time.Duration { return time.Minute + time.Duration(seconds*float64(time.Second)) }
+	revision := uint64(0)
+	accept := func(seconds float64, targets ...Target) {
+		revision++
+		c.Assert(r.AcceptTable(at(seconds), Table{Revision: revision, Targets: targets}), qt.IsTrue)
+	}
+	left := func(seconds float64) time.Duration {
+		t := r.WarmupsLeft(at(seconds), r.Table().Targets)[0]
+		c.Check(t.Cold, qt.Equals, t.WarmupLeft > 0)
+		return t.WarmupLeft
+	}
+	accept(0, coldTarget("a", 1, 2*time.Second))
+	c.Check(left(0.5), qt.Equals, 1500*time.Millisecond)
+	accept(1, r.Table().Apply(nil, 0).Targets...)
+	c.Check(left(1), qt.Equals, time.Second)
+	c.Check(r.TableToSend(at(1.5)).Targets[0].WarmupLeft, qt.Equals, 500*time.Millisecond)
+	accept(1.6, coldTarget("a", 1, 100*time.Millisecond))
+	c.Check(left(1.6), qt.Equals, 100*time.Millisecond, qt.Commentf("the earlier end is that of the entry with less delay"))
+	c.Check(left(3), qt.Equals, time.Duration(0))
+	accept(4, coldTarget("a", 1, 2*time.Second))
+	c.Check(left(4), qt.Equals, time.Duration(0), qt.Commentf("cold again"))
+	accept(5, coldTarget("a", 2, 2*time.Second))
+	c.Check(left(5), qt.Equals, 2*time.Second, qt.Commentf("the next incarnation under the same ID"))
+	accept(9, coldTarget("b", 1, 0))
+	r.Tick(at(9))
+	accept(10, coldTarget("b", 1, 2*time.Second))
+	c.Check(left(10), qt.Equals, time.Duration(0), qt.Commentf("it was warm"))
+	accept(11)
+	r.Tick(at(20))
+	c.Check(r.warmUntil, qt.HasLen, 0)
+}
+
+// Guards against a restored store that makes warm targets cold, because its copy is from the
+// time of their start.
+func TestRestoredEntryDoesNotMakeATargetCold(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.AcceptTable(time.Minute, Table{Revision: 9, Targets: []Target{coldTarget("a", 1, 0)}})
+	r.AcceptTable(time.Minute, Table{Epoch: 1, Revision: 2, Targets: []Target{coldTarget("a", 1, time.Second)}})
+	c.Check(r.WarmupsLeft(time.Minute, r.Table().Targets)[0].Cold, qt.IsFalse)
+}
+
+// Guards against limits and times of a peer that cannot be applied.
+func TestUnusableWarmups(t *testing.T) {
+	c := qt.New(t)
+	reported := 0
+	usable := Routes{Warmups: map[string]Warmup{
+		"a": {Rate: 2, Duration: time.Second}, "b": {Rate: math.NaN()}, "c": {Rate: -1}, "d": {Rate: math.Inf(1)}, "e": {Duration: -1},
+	}}.Usable(func(Unusable) { reported++ })
+	c.Check(usable.Warmups, qt.DeepEquals, map[string]Warmup{"a": {Rate: 2, Duration: time.Second}})
+	c.Check(reported, qt.Equals, 4)
+	for _, left := range []time.Duration{-1, MaxWarmup + 1} {
+		target := coldTarget("a", 1, left)
+		c.Check(target.Validate(), qt.ErrorMatches, "time until it is warm .*")
+	}
+}
