Warm-up: refusals of the agent, choice and mark of the balancer

Cause: a cold target got what its load allowed, from each balancer on its own. Ruled out: no openings for a cold target until its agent has reported a credit, because a lost report would keep it out of use; a reset of the first copy when all targets are cold, because it uses up the caller's tries within milliseconds. Change: occupancy refuses openings over the limit (WarmingUp) and counts requests; copies of a counted opening pass. choose passes over a cold target without credit while others can be used. Openings for a cold target with a rate are marked, so that an agent which has not been told holds them to the limit too.

--- a/internal/occupancy/answers.go
+++ b/internal/occupancy/answers.go
@@ -42,6 +42,9 @@
 		if !known || head.Copy == 0 {
 			s.openedAt = now
 		}
+		if !s.accepted && !s.counted(now) {
+			s.countedAt = now
+		}
 		if t.unansweredSince == 0 {
 			t.unansweredSince = now
 		}
@@ -61,6 +64,8 @@
 		if s.requestedAt == 0 {
 			t.endWithoutOutcome(&s)
 			t.begun = append(t.begun, flowAt{flow, now})
+			t.warmup.Requested(now, s.countedAt)
+			s.countedAt = 0
 		}
 		if s.requestedAt == 0 || !s.held {
 			s.requestedAt, s.countedFailed, s.multiSegment, s.outcomeDue = now, false, false, false
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
 const (
@@ -54,9 +55,11 @@
 	Busy
 	// Leaving: the agent is shutting down.
 	Leaving
+	// WarmingUp: the target is cold and has taken as many requests as it may.
+	WarmingUp
 )
 
-var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving"}
+var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "warming_up"}
 
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -71,6 +74,9 @@
 	requestedAt time.Duration
 	// openedAt is the time of the first copy of the opening; 0 after the first answer.
 	openedAt time.Duration
+	// countedAt is the time at which the limiter of the warm-up counted the opening; 0 after
+	// the first request.
+	countedAt time.Duration
 	// acceptedAt is the time at which the target accepted the opening.
 	acceptedAt time.Duration
 	// startedAt is the time at which the target is expected to have started the request;
@@ -151,6 +157,7 @@
 	failures failures
 	work     work
 	level    level
+	warmup   *warmup.Limiter
 }
 
 // New returns a tracker for a target of the given service.
@@ -165,6 +172,7 @@
 
 		failures: failures{answerTimeout: defaultAnswerTimeout},
 		level:    newLevel(),
+		warmup:   warmup.New(0, warmup.Tolerance{}),
 	}
 }
 
@@ -289,6 +297,8 @@
 		return Unresponsive
 	case t.busy(now, mark, head.Source):
 		return Busy
+	case !t.admitWarmup(now, head, mark):
+		return WarmingUp
 	}
 	if t.Unresponsive(now) {
 		t.lastProbe = now
--- a/internal/segment/mark.go
+++ b/internal/segment/mark.go
@@ -16,7 +16,7 @@
 	// Search is set if the balancer is searching for the flow's owner.
 	Search bool
 	// Sender is the number that the agent assigned to the balancer that sent the
-	// segment. A balancer sends Patience and MayWait in its place.
+	// segment. A balancer sends Patience, MayWait and Cold in its place.
 	Sender uint8
 	// Patience is the time after which the caller no longer waits for the answer to an
 	// opening, 0 if unknown. PackOpening rounds it down by up to an eighth.
@@ -24,6 +24,9 @@
 	// MayWait is set on an opening that may wait at the agent for a free slot, within
 	// its patience.
 	MayWait bool
+	// Cold is set on an opening whose target has a rate for its warm-up and is cold, as far
+	// as the balancer knows.
+	Cold bool
 	// Priority is the priority of the opening's route, 0 is the highest. Priorities
 	// above MaxPriority count as MaxPriority.
 	Priority uint8
@@ -51,8 +54,10 @@
 	// the budgets of two successive codes.
 	minBudget  = 5 * time.Millisecond
 	budgetStep = 1.15
-	// mayWaitBit is set in the byte of the sender, beside the code of the patience.
+	// mayWaitBit and coldBit are set in the byte of the sender, beside the code of the
+	// patience.
 	mayWaitBit = 0x80
+	coldBit    = 0x40
 )
 
 // budgets holds the budget of each code: 5 ms to 25 s.
@@ -104,6 +109,9 @@
 	if m.MayWait {
 		m.Sender |= mayWaitBit
 	}
+	if m.Cold {
+		m.Sender |= coldBit
+	}
 	return m.Pack()
 }
 
@@ -111,6 +119,7 @@
 func UnpackOpening(v uint64) Mark {
 	m := Unpack(v)
 	m.Patience, m.MayWait = budgets[m.Sender&maxBudgetCode], m.Sender&mayWaitBit != 0
+	m.Cold = m.Sender&coldBit != 0
 	m.Sender = 0
 	return m
 }
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -71,6 +71,7 @@
 	c := qt.New(t)
 	for _, m := range []Mark{
 		{Tag: 9, Patience: 1400 * time.Millisecond, MayWait: true, Budget: 200 * time.Millisecond, Priority: 2},
+		{Tag: 9, Cold: true, Busy: true, Attempt: 3}, {Tag: 9, Cold: true, MayWait: true, Patience: 1400 * time.Millisecond},
 		{Tag: 9, Patience: 700 * time.Millisecond, Late: true},
 		{Tag: 9, Patience: 3 * time.Millisecond, MayWait: true},
 		{Tag: 9},
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -118,12 +118,25 @@
 	return slices.Clone(e.rank(flow, e.view.servicesOf(flow.Service), func(t *Target) bool { return !t.Disowned() }, count))
 }
 
-// choose returns the least loaded of the candidates for a new flow, or nil.
+// choose returns the least loaded of the candidates for a new flow, or nil. A target whose
+// warm-up leaves no credit is chosen only if the others cannot be used.
 func (e *Engine) choose(now time.Duration, service string, flow segment.Flow, excluded func(*Target) bool) *Target {
 	usable := func(t *Target) bool { return t.acceptsFlows() && !excluded(t) }
 	healthy := func(t *Target) bool { return usable(t) && !e.shouldAvoid(now, t) }
+	passedOver := false
+	credited := func(t *Target) bool {
+		if !healthy(t) {
+			return false
+		}
+		credit := t.hasCredit(now)
+		passedOver = passedOver || !credit
+		return credit
+	}
 	names := [1]string{service}
-	list := e.rank(flow, names[:], healthy, localCandidates+globalCandidates)
+	list := e.rank(flow, names[:], credited, localCandidates+globalCandidates)
+	if len(list) == 0 && passedOver {
+		list = e.rank(flow, names[:], healthy, localCandidates+globalCandidates)
+	}
 	if len(list) == 0 {
 		list = e.rank(flow, names[:], usable, localCandidates+globalCandidates)
 	}
@@ -131,7 +144,7 @@
 	var bestCost float64
 	mean := e.meanServiceTime(list)
 	for _, t := range list {
-		if cost := e.cost(t, mean); best == nil || cost < bestCost {
+		if cost := e.cost(now, t, mean); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
@@ -185,10 +198,8 @@
 
 // cost estimates the time to the completion of a new request at a target, in service
 // times of the mean candidate, plus penalties in the same unit.
-func (e *Engine) cost(t *Target, meanService float64) float64 {
-	if reports := t.load.reportCount.Load(); reports != t.openingsReport {
-		t.openingsReport, t.openingsSent = reports, 0
-	}
+func (e *Engine) cost(now time.Duration, t *Target, meanService float64) float64 {
+	t.countReports()
 	pending := float64(t.load.pending.Load()) + sentWeight*float64(t.openingsSent)
 	mean := float64(t.load.meanMilli.Load()) / 1000
 	cost := (pending + meanWeight*mean) / t.slots()
@@ -196,7 +207,7 @@
 		cost *= float64(service) / meanService
 	}
 	cost += failingCost * float64(t.load.failingMilli.Load()) / 1000
-	if t.cold.Load() {
+	if t.Cold(now) {
 		cost += coldCost
 	}
 	if t.Info.Zone != e.zone {
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -133,13 +133,16 @@
 	Overloaded
 	// Expired: the timeout of the route is over before the opening is placed.
 	Expired
+	// WarmingUp: the targets that may take the opening are cold, and their warm-up leaves no
+	// credit.
+	WarmingUp
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"known", "opened", "repeated", "passed_on", "searching", "unconfigured", "no_route",
 	"no_target", "refused", "ownerless", "overfull", "diverted", "irrelevant", "unreported",
-	"overloaded", "expired",
+	"overloaded", "expired", "warming_up",
 }
 
 // String returns the name used in logs and metrics.
@@ -163,6 +166,8 @@
 	count           int
 	agents          []*Target
 	negativeReplies bool
+	// cold is set on an opening that goes to a cold target with a rate.
+	cold bool
 }
 
 // NegativeReplies reports whether the query requests negative replies from agents whose
@@ -180,8 +185,8 @@
 func (v *Verdict) Mark(t *Target) uint64 {
 	return segment.Mark{
 		Tag: t.Tag, Attempt: v.Attempt, Search: v.Reason == Searching,
-		Priority: v.Priority, Budget: v.Budget, Late: v.Late,
-	}.Pack()
+		Priority: v.Priority, Budget: v.Budget, Late: v.Late, Cold: v.cold,
+	}.PackOpening()
 }
 
 // setUrgency sets the priority and the budget of an opening of the given age.
--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -22,7 +22,7 @@
 	r, known := e.records.Get(flow)
 	if known && head.Copy < r.openings && r.target != nil && r.target.acceptsFlows() {
 		// The network duplicated the segment, or the caller uses the port again.
-		return e.forwardOpening(Opened, flow, route, r.target, head.Age)
+		return e.forwardOpening(now, Opened, flow, route, r.target, head.Age)
 	}
 	if !known && head.Copy == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
@@ -56,7 +56,7 @@
 		s.include(t)
 	}
 	t.openingsSent++
-	return e.forwardOpening(reason, flow, route, t, head.Age)
+	return e.forwardOpening(now, reason, flow, route, t, head.Age)
 }
 
 // supersede makes t the target of an opening. The earlier target may hold the flow
@@ -70,8 +70,9 @@
 }
 
 // forwardOpening returns the verdict that sends an opening of the given age to a target.
-func (e *Engine) forwardOpening(reason Reason, flow segment.Flow, route *registry.Route, t *Target, age time.Duration) Verdict {
+func (e *Engine) forwardOpening(now time.Duration, reason Reason, flow segment.Flow, route *registry.Route, t *Target, age time.Duration) Verdict {
 	v := forwardTo(reason, flow, t, 0)
+	v.cold = t.limited(now)
 	v.setUrgency(route, age)
 	return v
 }
@@ -119,6 +120,8 @@
 	mark := segment.Unpack(head.Mark)
 	if mark.Busy {
 		s.busyReturns++
+	} else if t := e.view.TargetOn(from); t != nil && t.limited(now) {
+		t.refusedWarmup()
 	}
 	r, _ := e.records.Get(flow)
 	if head.Copy+1 < r.openings && r.target.onHost(from) {
@@ -133,7 +136,10 @@
 	if t == nil {
 		return e.refuseOpening(flow, r, Refused)
 	}
-	v := e.forwardOpening(Retried, flow, route, t, head.Age)
+	if !t.hasCredit(now) {
+		return e.awaitWarmup(flow, r, head)
+	}
+	v := e.forwardOpening(now, Retried, flow, route, t, head.Age)
 	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(now, t, &v) {
 		return e.refuseOpening(flow, r, Overloaded)
 	}
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -58,6 +58,8 @@
 	reportCount       atomic.Uint32
 	// failingMilli is the share of recent requests that failed, in thousandths.
 	failingMilli atomic.Uint32
+	// warmupCredit is that of the last report.
+	warmupCredit atomic.Uint32
 	// unresponsive targets do not answer their agent; leaving agents are shutting down.
 	unresponsive, leaving atomic.Bool
 }
@@ -77,6 +79,9 @@
 	Leaving      bool
 	// Complete is set while the agent has seen every flow of its target.
 	Complete bool
+	// WarmupCredit is the number of openings that the cold target may take now, plus 1; 0 if
+	// its agent knows of no limit.
+	WarmupCredit uint32
 }
 
 // Target is one incarnation of a target as a balancer sees it.
@@ -95,7 +100,8 @@
 	identity segment.Identity
 	standing atomic.Uint32
 
-	draining, cold, removed, replaced atomic.Bool
+	draining, removed, replaced atomic.Bool
+	warmup                      warmupState
 	// restored is set once the agent has sent the flows that this balancer forwarded
 	// before it restarted.
 	restored atomic.Bool
@@ -123,6 +129,7 @@
 	}
 	t.load.leaving.Store(r.Leaving)
 	t.load.lastReport.Store(int64(now))
+	t.load.warmupCredit.Store(r.WarmupCredit)
 	t.load.complete.Store(r.Complete)
 	t.load.reportCount.Add(1)
 }
@@ -243,7 +250,7 @@
 			t.restored.Store(earlier != nil)
 		}
 		t.draining.Store(info.Draining)
-		t.cold.Store(info.Cold)
+		t.setWarmup(now, &info, routes.Warmups[info.Service])
 		v.services[info.Service] = append(v.services[info.Service], t)
 		if v.hosts[address] == nil {
 			v.hosts[address] = known[address].next()
