--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -102,6 +102,7 @@
 		common.Link = netip.AddrPortFrom(settings.Packets.Addr(), settings.AgentLinkPort)
 		return segnode.StartAgent(segnode.AgentOptions{
 			Common: common, Service: settings.Service, Backend: settings.Backend, Outbound: settings.Outbound,
+			WarmupTolerance: settings.WarmupTolerance,
 		})
 	}
 	common.Link = settings.Control
@@ -248,6 +249,7 @@
 		{"packets", current.Packets != next.Packets}, {"ready", current.Ready != next.Ready},
 		{"control", current.Control != next.Control}, {"outbound", current.Outbound != next.Outbound},
 		{"agent link port", current.AgentLinkPort != next.AgentLinkPort},
+		{"warm-up tolerance", current.WarmupTolerance != next.WarmupTolerance},
 		{"link rate", current.LinkRate != next.LinkRate}, {"cores", current.Cores != next.Cores},
 	} {
 		if setting.changed {
--- a/internal/cli/node_test.go
+++ b/internal/cli/node_test.go
@@ -216,6 +216,8 @@
 		{[]string{"agent", good, bad}, exitInvalid, "zone"},
 		{[]string{"balancer", file("empty.toml", "")}, exitInvalid, "empty.toml"},
 		{[]string{"routes", file("routes.json", routes)}, 0, "version 7, 1 routes"},
+		{[]string{"routes", file("warmup.json", strings.Replace(routes, `"version":7`, `"version":7,"backends":[{"name":"shop","warmup_s":2,"warmup_per_s":4}]`, 1))}, 0,
+			"service shop: targets are cold for 2s and take 4 requests a second then"},
 		{[]string{"routes", file("address.json", strings.Replace(routes, "198.18.0.1", "nowhere", 1))}, exitInvalid, "route r-shop"},
 		{[]string{"routes", file("broken.json", routes[:20])}, exitInvalid, "cannot be read"},
 		{[]string{"routes", filepath.Join(dir, "missing.json")}, exitInvalid, "missing.json"},
--- a/internal/cli/nodecheck.go
+++ b/internal/cli/nodecheck.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
+	"strconv"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -74,5 +77,12 @@
 		return errors.Errorf("%s: %d faults in the configuration", file, len(faults))
 	}
 	fmt.Fprintf(out, "%s: version %d, %d routes\n", file, routes.Version, len(routes.Routes))
+	for _, service := range slices.Sorted(maps.Keys(routes.Warmups)) {
+		limit, rate := routes.Warmups[service], "any number of"
+		if limit.Rate > 0 {
+			rate = strconv.FormatFloat(limit.Rate, 'g', -1, 64)
+		}
+		fmt.Fprintf(out, "%s: service %s: targets are cold for %v and take %s requests a second then\n", file, service, limit.Duration, rate)
+	}
 	return nil
 }
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -17,6 +17,7 @@
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
 const (
@@ -52,6 +53,9 @@
 	Backend netip.AddrPort
 	// Outbound is the address to which the target sends its segments.
 	Outbound netip.AddrPort
+	// WarmupTolerance is how far more requests than the configured rate of a cold target are
+	// accepted.
+	WarmupTolerance warmup.Tolerance
 }
 
 // balancerEntry holds what the agent stores of a balancer that sent it a
@@ -87,6 +91,7 @@
 	// loggedUnresponsive and loggedFailing are the states of the target that
 	// were logged last.
 	loggedUnresponsive, loggedFailing bool
+	warmup                            warmupLog
 
 	tasks
 }
@@ -100,6 +105,7 @@
 		metrics: telemetry.NewSegmentMetrics("agent/"+options.Host, occupancy.RefusalNames()...),
 	}
 	a.coverage = occupancy.NewCoverage(a.clock.now(), time.Now().UnixMilli())
+	a.tracker.SetWarmup(warmup.New(a.clock.now(), options.WarmupTolerance))
 	a.out = transmitter{options.Logger, a.metrics}
 	a.backend.Store(&options.Backend)
 	for _, s := range []struct {
@@ -136,6 +142,9 @@
 	}
 	now := a.clock.now()
 	mark := segment.Unpack(head.Mark)
+	if head.Opening {
+		mark = segment.UnpackOpening(head.Mark)
+	}
 	a.mu.Lock()
 	sender := a.balancerIndex(now, from)
 	mark.Sender = sender
@@ -373,6 +382,7 @@
 			if d, ok := describe(target); ok {
 				a.tracker.SetAnswerTimeout(time.Duration(target.PatienceMs) * time.Millisecond)
 				a.coverage.Update(now, time.Now().UnixMilli(), d)
+				a.tracker.Warmup().Describe(now, describeWarmup(target))
 			} else {
 				a.metrics.Malformed.Inc()
 			}
@@ -401,7 +411,7 @@
 
 // describe decodes the description of a target; false if a time is out of range.
 func describe(m *schema.LinkTarget) (occupancy.Description, bool) {
-	if max(m.KnownMs, m.IdleMs, m.PatienceMs) > maxMilliseconds {
+	if max(m.KnownMs, m.IdleMs, m.PatienceMs) > maxMilliseconds || !validWarmup(m) {
 		return occupancy.Description{}, false
 	}
 	return occupancy.Description{
@@ -444,6 +454,7 @@
 	defer a.mu.Unlock()
 	if a.options.Service != service {
 		a.tracker = occupancy.New(service)
+		a.tracker.SetWarmup(warmup.New(a.clock.now(), a.options.WarmupTolerance))
 		a.coverage = occupancy.NewCoverage(a.clock.now(), time.Now().UnixMilli())
 	}
 	a.options.Service = service
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -53,6 +53,7 @@
 		ServiceTime:   time.Duration(m.ServiceMicros) * time.Microsecond,
 		ExcludedRanks: excludedRanks(m.ExcludedShares),
 		Unresponsive:  m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete,
+		WarmupCredit: m.WarmupCredit,
 	})
 }
 
@@ -207,7 +208,7 @@
 func (b *Balancer) publishView(now time.Duration) {
 	routes, table := b.registry.Routes(), b.registry.Table()
 	usable := table
-	usable.Targets = withoutBalancers(table.Targets, b.balancerHosts(now))
+	usable.Targets = withoutBalancers(b.registry.WarmupsLeft(now, table.Targets), b.balancerHosts(now))
 	b.view.Store(steering.NewView(now, b.view.Load(), routes, usable, b.options.Packets.Port()))
 	b.metrics.Version.Set(int64(routes.Version))
 	b.metrics.Epoch.Set(int64(table.Epoch))
@@ -247,7 +248,7 @@
 		host := t.Agent.Addr().As4()
 		restored, overdue := t.FlowsRestored(), round.Overdue(t.ReportAge(now))
 		if !restored || round.Includes(binary.BigEndian.Uint32(host[:]), t.ReportAge(now)) {
-			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored || overdue)
+			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored || overdue || t.WarmupUnknown(now))
 		}
 	}
 }
@@ -286,6 +287,7 @@
 				IdleMs:      uint64(view.IdleLimit() / time.Millisecond),
 				FlowsWanted: !t.FlowsRestored(),
 			}
+			describeWarmupOf(ping.Target, now, view, t)
 		}
 	case !t.Disowned():
 		ping.Target = &schema.LinkTarget{FlowsWanted: !t.FlowsRestored()}
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -27,6 +27,11 @@
 		ServiceMicros:    uint32(a.tracker.ServiceTime().Microseconds()),
 		ExcludedShares:   excludedShares(a.tracker.ExcludedRanks()),
 	}
+	credit, cold := a.tracker.Warmup().Credit(now)
+	if cold {
+		load.WarmupCredit = uint32(credit) + 1
+	}
+	warmupEvent := a.warmup.update(now, a.tracker.Warmup())
 	changed := load.Unresponsive != a.loggedUnresponsive
 	// Reports that follow a ping name the target, for the balancers in naming.
 	var to, naming []netip.AddrPort
@@ -48,6 +53,7 @@
 	a.loggedFailing = startedFailing || a.loggedFailing && !stoppedFailing
 	a.mu.Unlock()
 	a.metrics.Pending.Set(int64(load.Pending))
+	a.recordWarmup(cold, credit, warmupEvent)
 	if changed {
 		a.options.Logger.Log(telemetry.TargetResponds, "responds", !load.Unresponsive, "pending", load.Pending)
 	}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -186,6 +186,12 @@
 		Message: "sending a restarted balancer its flows for the flow restore", Fields: []string{"balancer", "flows"}}
 	SendFailed = Event{Number: 620, Level: log.WarnLevel, Name: "send_failed",
 		Message: "datagram cannot be sent", Fields: []string{"to", "error"}}
+	WarmupBegun = Event{Number: 631, Level: log.InfoLevel, Name: "warmup_begun",
+		Message: "target is cold and takes a limited number of requests", Fields: []string{"rate", "left"}}
+	WarmupEnded = Event{Number: 632, Level: log.InfoLevel, Name: "warmup_ended",
+		Message: "target is warm; its limit is over", Fields: []string{"rate", "bound", "peak", "openings", "given_back", "further_requests", "lasted"}}
+	WarmupExceeded = Event{Number: 633, Level: log.WarnLevel, Name: "warmup_exceeded",
+		Message: "target is warm; it got more requests than the tolerance allows", Fields: []string{"rate", "bound", "peak", "openings", "given_back", "further_requests", "lasted"}}
 )
 
 // Events returns the catalogue, ordered by number.
@@ -200,5 +206,6 @@
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
 		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold, SendFailed,
+		WarmupBegun, WarmupEnded, WarmupExceeded,
 	}
 }
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -54,6 +54,7 @@
 	StoreCalls, StoreErrors, PullErrors, EntriesUnusable       Counter
 	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
 	RoutesUnusable                                             Gauge
+	WarmupCredit, WarmupOpenings, WarmupPeak                   Gauge
 	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
 	ExpectedWait, WaitError                                    *Histogram
 
@@ -129,6 +130,12 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Flows }),
 		gaugeDesc("pending", "requests", "agent: requests running or queued at the target",
 			func(m *SegmentMetrics) *Gauge { return &m.Pending }),
+		gaugeDesc("warmup_credit", "openings", "agent: openings that the cold target may take now; -1 if it is warm or its service names no rate",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupCredit }),
+		gaugeDesc("warmup_openings", "openings", "agent: openings that the target took in its running or last warm-up",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupOpenings }),
+		gaugeDesc("warmup_peak", "requests", "agent: most requests counted in one second of the running or last warm-up, at most one above the tolerance",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupPeak }),
 		gaugeDesc("routes_version", "version", "balancer: version of the routes in force",
 			func(m *SegmentMetrics) *Gauge { return &m.Version }),
 		gaugeDesc("store_epoch", "restores", "balancer: epoch of the store that the table in force is from; 0 if unknown",
