Warm-up: an end that does not move, entries without a start, explain

Change: the end of a known incarnation only moves forward in time if entries have no start; ended incarnations are forgotten when there are many; explain lists 631 to 633.

--- a/internal/explainlog/explainlog.go
+++ b/internal/explainlog/explainlog.go
@@ -102,6 +102,7 @@
 	telemetry.ProcessStarted.Number, telemetry.StopBegun.Number, telemetry.Stopped.Number, telemetry.RoutesAccepted.Number,
 	telemetry.TargetChanged.Number, telemetry.StoreUnreachable.Number, telemetry.StoreReachable.Number,
 	telemetry.OwnLinkDoubted.Number, telemetry.OwnLinkTrusted.Number, telemetry.TargetResponds.Number,
+	telemetry.WarmupBegun.Number, telemetry.WarmupEnded.Number, telemetry.WarmupExceeded.Number,
 	telemetry.TargetFailing.Number,
 }
 
--- a/internal/registry/warmup.go
+++ b/internal/registry/warmup.go
@@ -9,8 +9,12 @@
 	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
-// MaxWarmup is the longest warm-up of a target.
-const MaxWarmup = 24 * time.Hour
+const (
+	// MaxWarmup is the longest warm-up of a target.
+	MaxWarmup = 24 * time.Hour
+	// maxFormerWarmups is the number of ended incarnations whose warm-up is remembered.
+	maxFormerWarmups = 256
+)
 
 // Warmup is the published limit of the targets of a service that have just started.
 type Warmup struct {
@@ -46,12 +50,15 @@
 
 // noteWarmups records when the targets of a table that was received now are warm. An
 // incarnation does not become cold again: entries of it differ by their delays, which only
-// make its warm-up seem longer, and a restored store has earlier ones.
+// make its warm-up seem longer, and a restored store has earlier ones. Without a start,
+// incarnations cannot be told apart, and each entry is believed.
 func (r *Registry) noteWarmups(now time.Duration, targets []Target) {
 	for i := range targets {
 		t := &targets[i]
 		until, known := r.warmUntil[t.Incarnation()]
 		switch left := now + t.WarmupLeft; {
+		case t.Born == 0:
+			r.warmUntil[t.Incarnation()] = left
 		case known:
 			r.warmUntil[t.Incarnation()] = min(until, left)
 		case t.WarmupLeft == 0:
@@ -63,9 +70,9 @@
 	}
 }
 
-// forgetWarmups forgets the incarnations that have ended.
+// forgetWarmups forgets the incarnations that have ended when there are many.
 func (r *Registry) forgetWarmups() {
-	if len(r.warmUntil) == 0 {
+	if len(r.warmUntil) <= len(r.table.Targets)+maxFormerWarmups {
 		return
 	}
 	present := make(map[Incarnation]bool, len(r.table.Targets))
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -78,6 +78,8 @@
 	} {
 		decoded := UnpackOpening(m.PackOpening())
 		c.Check(decoded.MayWait, qt.Equals, m.MayWait)
+		c.Check(decoded.Cold, qt.Equals, m.Cold)
+		c.Check(decoded.Busy, qt.Equals, m.Busy)
 		c.Check(decoded.Patience <= m.Patience, qt.IsTrue, qt.Commentf("%s, decoded %s", m.Patience, decoded.Patience))
 		c.Check(decoded.Patience > m.Patience*7/8 || m.Patience < 5*time.Millisecond, qt.IsTrue)
 		c.Check(decoded.Late, qt.Equals, m.Late)
--- a/internal/steering/warmup.go
+++ b/internal/steering/warmup.go
@@ -23,7 +23,17 @@
 	exhausted uint32
 }
 
-// setWarmup records the warm-up of a target as of its entry and the configuration.
+// updateWarmup records the warm-up of a target that is known as of its entry and the
+// configuration. Its end does not move, unless entries cannot be told apart.
+func (t *Target) updateWarmup(now time.Duration, info *registry.Target, limit registry.Warmup) {
+	until := t.warmup.until.Load()
+	t.setWarmup(now, info, limit)
+	if info.Born != 0 && until < t.warmup.until.Load() {
+		t.warmup.until.Store(until)
+	}
+}
+
+// setWarmup records the warm-up of a new target as of its entry and the configuration.
 func (t *Target) setWarmup(now time.Duration, info *registry.Target, limit registry.Warmup) {
 	left := info.WarmupLeft
 	if limit.Duration > 0 {
