Warm-up: divide the credit among balancers

Cause: each report named the whole credit, and many balancers used the same one. Ruled out: a share by the number of balancers, which is below one opening a second with 24; urgent reports when the credit is used up (24 datagrams each time). Change: the agent gives what is left to the balancers that get a report now and does not give it out again for 0.3 s, unless it was used.

--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -28,14 +28,13 @@
 		ExcludedShares:   excludedShares(a.tracker.ExcludedRanks()),
 	}
 	credit, cold := a.tracker.Warmup().Credit(now)
-	if cold {
-		load.WarmupCredit = uint32(credit) + 1
-	}
 	warmupEvent := a.warmup.update(now, a.tracker.Warmup())
 	changed := load.Unresponsive != a.loggedUnresponsive
 	// Reports that follow a ping name the target, for the balancers in naming.
 	var to, naming []netip.AddrPort
-	for _, index := range a.reports.Due(now, load.Pending, a.urgent || changed) {
+	due := a.reports.Due(now, load.Pending, a.urgent || changed)
+	each, more := a.tracker.Warmup().Share(now, len(due))
+	for _, index := range due {
 		balancer := &a.balancers[index]
 		if balancer.pinged {
 			naming = append(naming, balancer.link)
@@ -60,6 +59,21 @@
 	if startedFailing || stoppedFailing {
 		a.options.Logger.Log(telemetry.TargetFailing, "failing", startedFailing, "share", math.Round(share*100)/100, "pending", load.Pending)
 	}
+	if !cold {
+		a.sendReports(load, identity, to, naming)
+		return
+	}
+	// The first ones get one more.
+	load.WarmupCredit = uint32(each) + 2
+	first := min(more, len(to))
+	a.sendReports(load, identity, to[:first], naming[:more-first])
+	load.WarmupCredit = uint32(each) + 1
+	a.sendReports(load, identity, to[first:], naming[more-first:])
+}
+
+// sendReports sends a report, which names the target to some of the balancers.
+func (a *Agent) sendReports(load *schema.LinkLoad, identity *schema.LinkIdentity, to, naming []netip.AddrPort) {
+	load.Identity = nil
 	message := &schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: load}}
 	a.out.messages(a.link, message, to)
 	load.Identity = identity
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -68,6 +68,7 @@
 	rate         float64
 	window       Window
 	incarnations []incarnation
+	grants       grants
 	phase        Phase
 }
 
@@ -147,6 +148,7 @@
 		return false
 	}
 	l.phase.Taken++
+	l.grants.use()
 	l.observe(now)
 	return true
 }
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -263,3 +263,27 @@
 		}
 	}
 }
+
+// Guards against credit that is given to several balancers, which then send more openings
+// than the target takes, and against credit that no balancer gets.
+func TestCreditIsSharedOnce(t *testing.T) {
+	c := qt.New(t)
+	h := describedLimiter(7, time.Minute)
+	share := func(balancers int) [2]int {
+		each, more := h.Share(h.now, balancers)
+		return [2]int{each, more}
+	}
+	c.Check(share(0), qt.Equals, [2]int{0, 0})
+	c.Check(share(3), qt.Equals, [2]int{2, 1})
+	c.Check(share(3), qt.Equals, [2]int{0, 0})
+	for range 4 {
+		c.Check(h.open(true), qt.IsTrue)
+	}
+	c.Check(share(3), qt.Equals, [2]int{0, 0}, qt.Commentf("three have not been used yet"))
+	h.now += grantTime
+	c.Check(share(2), qt.Equals, [2]int{1, 1})
+	h.now += grantTime
+	c.Check(share(1), qt.Equals, [2]int{3, 0}, qt.Commentf("nobody used them"))
+	h.now += time.Minute
+	c.Check(share(1), qt.Equals, [2]int{0, 0}, qt.Commentf("warm"))
+}
