--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -134,7 +134,8 @@
 	Zone     string
 	Slots    int
 	Draining bool
-	// Cold is set for a short time after the start, while the target is slow.
+	// Cold is set while the target is slow, for a short time after its start or after a time
+	// without work.
 	Cold bool
 	// WarmupLeft is the time until the target is warm, when the entry was published or the
 	// table was sent; 0 if it is warm.
--- a/internal/registry/warmup.go
+++ b/internal/registry/warmup.go
@@ -16,9 +16,10 @@
 	maxFormerWarmups = 256
 )
 
-// Warmup is the published limit of the targets of a service that have just started.
+// Warmup is the published limit of the cold targets of a service.
 type Warmup struct {
-	// Duration is the time after its start for which a target is cold.
+	// Duration is the time for which a target is cold after its start, or after a time without
+	// work.
 	Duration time.Duration
 	// Rate is the number of requests per second that a cold target takes; 0 for no limit.
 	Rate float64
--- a/internal/warmup/window.go
+++ b/internal/warmup/window.go
@@ -1,6 +1,6 @@
-// Package warmup limits the requests of a target that has just started. It does no I/O
-// and is not safe for concurrent use; times are monotonic times since the start of the
-// process.
+// Package warmup limits the requests of a cold target: one that has just started, or had no
+// work for a time. It does no I/O and is not safe for concurrent use; times are monotonic
+// times since the start of the process.
 package warmup
 
 import (
