--- a/internal/explainlog/explainlog.go
+++ b/internal/explainlog/explainlog.go
@@ -103,6 +103,7 @@
 	telemetry.TargetChanged.Number, telemetry.StoreUnreachable.Number, telemetry.StoreReachable.Number,
 	telemetry.OwnLinkDoubted.Number, telemetry.OwnLinkTrusted.Number, telemetry.TargetResponds.Number,
 	telemetry.TargetFailing.Number, telemetry.ZoneEvacuated.Number, telemetry.TargetEvacuated.Number, telemetry.TargetEmpty.Number,
+	telemetry.WarmupBegun.Number, telemetry.WarmupEnded.Number, telemetry.WarmupExceeded.Number,
 }
 
 // Explain collects the report on a request, given by its identifier or by a
--- a/internal/occupancy/answers.go
+++ b/internal/occupancy/answers.go
@@ -46,6 +46,9 @@
 		if !known || head.Copy == 0 {
 			s.openedAt = now
 		}
+		if !s.accepted && !s.counted(now) {
+			s.countedAt = now
+		}
 		if t.unansweredSince == 0 {
 			t.unansweredSince = now
 		}
--- a/internal/occupancy/arrivals.go
+++ b/internal/occupancy/arrivals.go
@@ -137,6 +137,8 @@
 	if s.requestedAt == 0 {
 		t.endWithoutOutcome(s)
 		t.begun = append(t.begun, flowAt{flow, now})
+		t.warmup.Requested(now, s.countedAt)
+		s.countedAt = 0
 	}
 	s.requestedAt, s.arriving = now, false
 	s.countedFailed, s.multiSegment, s.outcomeDue, s.early = false, false, false, false
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
 const (
@@ -56,9 +57,11 @@
 	Leaving
 	// Evacuated: the zone of the target is evacuated.
 	Evacuated
+	// WarmingUp: the target is cold and has taken as many requests as it may.
+	WarmingUp
 )
 
-var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "evacuated"}
+var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "evacuated", "warming_up"}
 
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -84,6 +87,9 @@
 	early bool
 	// openedAt is the time of the first copy of the opening; 0 after the first answer.
 	openedAt time.Duration
+	// countedAt is the time at which the limiter of the warm-up counted the opening; 0 after
+	// the first request.
+	countedAt time.Duration
 	// acceptedAt is the time at which the target accepted the opening.
 	acceptedAt time.Duration
 	// startedAt is the time at which the target is expected to have started the request;
@@ -171,6 +177,7 @@
 	failures failures
 	work     work
 	level    level
+	warmup   *warmup.Limiter
 }
 
 // New returns a tracker for a target of the given service.
@@ -186,6 +193,7 @@
 		arrivals: make(map[segment.Flow]*arrival),
 		failures: failures{answerTimeout: defaultAnswerTimeout},
 		level:    newLevel(),
+		warmup:   warmup.New(0, warmup.Tolerance{}),
 	}
 }
 
@@ -334,6 +342,8 @@
 		return Unresponsive
 	case t.busy(now, mark, head.Source):
 		return Busy
+	case !t.admitWarmup(now, head, mark):
+		return WarmingUp
 	}
 	if t.Unresponsive(now) {
 		t.lastProbe = now
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -71,12 +71,15 @@
 	c := qt.New(t)
 	for _, m := range []Mark{
 		{Tag: 9, Patience: 1400 * time.Millisecond, MayWait: true, Budget: 200 * time.Millisecond, Priority: 2},
+		{Tag: 9, Cold: true, Busy: true, Attempt: 3}, {Tag: 9, Cold: true, MayWait: true, Patience: 1400 * time.Millisecond},
 		{Tag: 9, Patience: 700 * time.Millisecond, Late: true},
 		{Tag: 9, Patience: 3 * time.Millisecond, MayWait: true},
 		{Tag: 9},
 	} {
 		decoded := UnpackOpening(m.PackOpening())
 		c.Check(decoded.MayWait, qt.Equals, m.MayWait)
+		c.Check(decoded.Cold, qt.Equals, m.Cold)
+		c.Check(decoded.Busy, qt.Equals, m.Busy)
 		c.Check(decoded.Patience <= m.Patience, qt.IsTrue, qt.Commentf("%s, decoded %s", m.Patience, decoded.Patience))
 		c.Check(decoded.Patience > m.Patience*7/8 || m.Patience < 5*time.Millisecond, qt.IsTrue)
 		c.Check(decoded.Late, qt.Equals, m.Late)
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -54,6 +54,7 @@
 		ExcludedRanks: excludedRanks(m.ExcludedShares),
 		Unresponsive:  m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete,
 		Evacuated: m.Evacuated, OpenFlows: m.OpenFlows,
+		WarmupCredit: m.WarmupCredit,
 	})
 }
 
@@ -223,7 +224,7 @@
 	routes, table, zones := b.registry.Routes(), b.registry.Table(), b.registry.Evacuations()
 	if zones.Revision != 0 {
 		usable := table
-		usable.Targets = withoutBalancers(table.Targets, b.balancerHosts(now))
+		usable.Targets = withoutBalancers(b.registry.WarmupsLeft(now, table.Targets), b.balancerHosts(now))
 		view := steering.NewView(now, b.view.Load(), routes, usable, b.options.Packets.Port())
 		view.Evacuate(zones)
 		b.view.Store(view)
@@ -266,13 +267,14 @@
 		host := t.Agent.Addr().As4()
 		restored, overdue := t.FlowsRestored(), round.Overdue(t.ReportAge(now))
 		if !restored || round.Includes(binary.BigEndian.Uint32(host[:]), t.ReportAge(now)) {
-			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored || overdue, false)
+			b.sendPing(now, view, t, round.Wanted, round.Describe || !restored || overdue || t.WarmupUnknown(now), false)
 		}
 	}
 }
 
 // pingUnreported pings the agents that have not reported yet, so that their
-// targets get new flows as soon as the agents have started.
+// targets get new flows as soon as the agents have started, and those that have not reported
+// that they know of their target's warm-up.
 func (b *Balancer) pingUnreported(now time.Duration) {
 	view := b.view.Load()
 	if view == nil {
@@ -282,7 +284,7 @@
 	wanted := b.pings.Wanted()
 	b.mu.Unlock()
 	for _, t := range view.Targets() {
-		if !t.Reported() && t.ReportAge(now) < unreportedPingTimeout {
+		if (!t.Reported() || t.WarmupUnknown(now)) && t.ReportAge(now) < unreportedPingTimeout {
 			b.sendPing(now, view, t, wanted, true, false)
 		}
 	}
@@ -309,6 +311,7 @@
 				IdleMs:      uint64(view.IdleLimit() / time.Millisecond),
 				FlowsWanted: !t.FlowsRestored(),
 			}
+			describeWarmupOf(ping.Target, now, view, t)
 		}
 	case !t.Disowned():
 		ping.Target = &schema.LinkTarget{FlowsWanted: !t.FlowsRestored()}
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -58,6 +58,8 @@
 	reportCount       atomic.Uint32
 	// failingMilli is the share of recent requests that failed, in thousandths.
 	failingMilli atomic.Uint32
+	// warmupCredit is that of the last report.
+	warmupCredit atomic.Uint32
 	// unresponsive targets do not answer their agent; leaving agents are shutting down.
 	unresponsive, leaving atomic.Bool
 	// evacuated is set while the agent takes no openings because of an evacuation.
@@ -85,6 +87,9 @@
 	Evacuated bool
 	// OpenFlows is the number of flows that are open at the target while Evacuated is set.
 	OpenFlows uint32
+	// WarmupCredit is the number of openings that the cold target may take now, plus 1; 0 if
+	// its agent knows of no limit.
+	WarmupCredit uint32
 }
 
 // Target is one incarnation of a target as a balancer sees it.
@@ -103,9 +108,10 @@
 	identity segment.Identity
 	standing atomic.Uint32
 
-	draining, cold, removed, replaced atomic.Bool
+	draining, removed, replaced atomic.Bool
 	// evacuated is set while the zone of the target is evacuated.
 	evacuated atomic.Bool
+	warmup    warmupState
 	// restored is set once the agent has sent the flows that this balancer forwarded
 	// before it restarted.
 	restored atomic.Bool
@@ -135,6 +141,7 @@
 	t.load.evacuated.Store(r.Evacuated)
 	t.load.openFlows.Store(r.OpenFlows)
 	t.load.lastReport.Store(int64(now))
+	t.load.warmupCredit.Store(r.WarmupCredit)
 	t.load.complete.Store(r.Complete)
 	t.load.reportCount.Add(1)
 }
@@ -310,8 +317,8 @@
 			// earlier one.
 			t.restored.Store(earlier != nil)
 		}
+		t.setWarmup(now, &info, routes.Warmups[info.Service])
 		t.draining.Store(info.Draining)
-		t.cold.Store(info.Cold)
 		v.services[info.Service] = append(v.services[info.Service], t)
 		if v.hosts[address] == nil {
 			v.hosts[address] = known[address].next()
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -108,6 +108,7 @@
 	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
 	RoutesUnusable, Arriving                                   Gauge
 	EvacuatedZones                                             EvacuatedZones
+	WarmupCredit, WarmupOpenings, WarmupPeak                   Gauge
 	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
 	ExpectedWait, WaitError, RequestArrival                    *Histogram
 
@@ -185,6 +186,12 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Pending }),
 		gaugeDesc("arriving", "requests", "agent: requests of several segments of which a part has arrived",
 			func(m *SegmentMetrics) *Gauge { return &m.Arriving }),
+		gaugeDesc("warmup_credit", "openings", "agent: openings that the cold target may take now; -1 if it is warm or its service names no rate",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupCredit }),
+		gaugeDesc("warmup_openings", "openings", "agent: openings that the target took in its running or last warm-up",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupOpenings }),
+		gaugeDesc("warmup_peak", "requests", "agent: most requests counted in one second of the running or last warm-up, at most one above the tolerance",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupPeak }),
 		gaugeDesc("routes_version", "version", "balancer: version of the routes in force",
 			func(m *SegmentMetrics) *Gauge { return &m.Version }),
 		gaugeDesc("store_epoch", "restores", "balancer: epoch of the store that the table in force is from; 0 if unknown",
