--- a/internal/occupancy/admission.go
+++ b/internal/occupancy/admission.go
@@ -35,11 +35,13 @@
 	Level bool
 	// LearnShed refuses openings when the target is expected to shed them.
 	LearnShed bool
+	// Wait lets openings that balancers give leave to wait do so within their patience.
+	Wait bool
 }
 
 // DefaultPolicy returns the policy with all mechanisms.
 func DefaultPolicy() Policy {
-	return Policy{ByTime: true, LateToFreeSlots: true, Level: true, LearnShed: true}
+	return Policy{ByTime: true, LateToFreeSlots: true, Level: true, LearnShed: true, Wait: true}
 }
 
 // busy reports whether an opening is refused because of the load of the target. An
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/waitline"
 )
 
 const (
@@ -37,8 +38,8 @@
 	maxFlows = 1 << 16
 )
 
-// Refusal is the result of the admission of a segment: Accepted, or the reason why the
-// segment is refused.
+// Refusal is the result of the admission of a segment: Accepted, Waits, or the reason why
+// the segment is refused.
 type Refusal uint8
 
 // Results of the admission of a segment.
@@ -54,9 +55,11 @@
 	Busy
 	// Leaving: the agent is shutting down.
 	Leaving
+	// Waits: the opening waits at the agent until the target has room.
+	Waits
 )
 
-var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving"}
+var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "waits"}
 
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -151,6 +154,10 @@
 	failures failures
 	work     work
 	level    level
+	// taken is the rate of openings that go to the target without waiting.
+	taken rate
+	// line holds the openings that wait.
+	line *waitline.Line
 }
 
 // New returns a tracker for a target of the given service.
@@ -165,6 +172,7 @@
 
 		failures: failures{answerTimeout: defaultAnswerTimeout},
 		level:    newLevel(),
+		line:     waitline.New(),
 	}
 }
 
@@ -288,8 +296,13 @@
 	case t.Unresponsive(now) && now-t.lastProbe < probeInterval:
 		return Unresponsive
 	case t.busy(now, mark, head.Source):
+		if t.line.Contains(head.FromCaller()) || t.mayWait(now, mark) {
+			return Waits
+		}
 		return Busy
 	}
+	t.taken.add(now)
+	t.line.Remove(head.FromCaller())
 	if t.Unresponsive(now) {
 		t.lastProbe = now
 	}
--- /dev/null
+++ b/internal/occupancy/waiting.go
@@ -0,0 +1,129 @@
+package occupancy
+
+import (
+	"math"
+	"time"
+
+	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/waitline"
+)
+
+const (
+	// unknownServiceShare is the share of an opening's patience that is assumed as the
+	// service time until the first answer.
+	unknownServiceShare = 0.05
+	// maxTakenShare bounds the share of the slots that openings which do not wait are
+	// expected to take: the estimate is as old as rateWindow.
+	maxTakenShare = 0.9
+	// rateWindow is the time constant of the rate of openings.
+	rateWindow = 500 * time.Millisecond
+	// prefetch is the number of openings beyond the free slots that go to the target, so
+	// that a slot is not idle for the round trip to the caller.
+	prefetch = 1
+)
+
+// rate is a decayed rate of events.
+type rate struct {
+	count   float64
+	updated time.Duration
+}
+
+func (r *rate) add(now time.Duration) {
+	r.decay(now)
+	r.count++
+}
+
+func (r *rate) decay(now time.Duration) {
+	if elapsed := now - r.updated; elapsed > 0 {
+		r.count *= math.Exp(-float64(elapsed) / float64(rateWindow))
+		r.updated = now
+	}
+}
+
+// perSecond returns the rate.
+func (r *rate) perSecond(now time.Duration) float64 {
+	r.decay(now)
+	return r.count / rateWindow.Seconds()
+}
+
+// mayWait reports whether an opening that the target has no room for can be answered within
+// its patience if it waits.
+func (t *Tracker) mayWait(now time.Duration, mark segment.Mark) bool {
+	if !t.policy.Wait || !mark.MayWait || mark.Patience == 0 || t.work.slots == 0 {
+		return false
+	}
+	return t.expectedTurn(now, mark)+t.answerTime(mark.Patience) <= mark.Patience
+}
+
+// serviceTime returns the mean service time, or an assumed one that suits a patience.
+func (t *Tracker) serviceTime(patience time.Duration) time.Duration {
+	if t.work.service != 0 {
+		return t.work.service
+	}
+	return time.Duration(unknownServiceShare * float64(patience))
+}
+
+// answerTime returns the expected time from the delivery of an opening to a free slot to its
+// answer.
+func (t *Tracker) answerTime(patience time.Duration) time.Duration {
+	return 2*t.work.roundTrip + time.Duration(serviceMargin*float64(t.serviceTime(patience)))
+}
+
+// expectedTurn returns the expected time until an opening that joins the line goes to the
+// target. Openings that do not wait take their share of the slots meanwhile.
+func (t *Tracker) expectedTurn(now time.Duration, mark segment.Mark) time.Duration {
+	service := t.serviceTime(mark.Patience)
+	perSlot := service.Seconds() / float64(t.work.slots)
+	left := 1 - min(maxTakenShare, t.taken.perSecond(now)*perSlot)
+	ahead := t.pending - t.work.slots + 1 + t.line.Ahead(mark.Priority, mark.Late)
+	return time.Duration(float64(max(ahead, 0)) * perSlot / left * float64(time.Second))
+}
+
+// Quote returns the time in which an opening that is refused now could be answered if it
+// waited; 0 if unknown.
+func (t *Tracker) Quote(now time.Duration, mark segment.Mark) time.Duration {
+	if mark.Patience == 0 || t.work.slots == 0 {
+		return 0
+	}
+	return t.expectedTurn(now, mark) + t.answerTime(mark.Patience)
+}
+
+// Wait adds an opening that Admit let wait to the line, and reports whether there was room
+// for it. An opening that waits already stays where it is.
+func (t *Tracker) Wait(now time.Duration, head segment.Head, mark segment.Mark, sender uint8, data []byte) bool {
+	flow := head.FromCaller()
+	return t.line.Contains(flow) || t.line.Add(now, waitline.Opening{
+		Flow: flow, Segment: data, Sender: sender, Priority: mark.Priority,
+		Arrived: now, Objective: now + mark.Budget, Deadline: now + mark.Patience,
+	})
+}
+
+// Waiting returns the number of openings that wait.
+func (t *Tracker) Waiting() int { return t.line.Len() }
+
+// Withdraw removes the waiting opening of a flow.
+func (t *Tracker) Withdraw(flow segment.Flow) { t.line.Remove(flow) }
+
+// Released returns the opening that goes to the target now, if one waits and the target has
+// room for it.
+func (t *Tracker) Released(now time.Duration) (waitline.Opening, bool) {
+	if t.line.Len() == 0 || t.leaving || t.Unresponsive(now) || t.pending >= t.work.slots+prefetch {
+		return waitline.Opening{}, false
+	}
+	return t.line.Next(now, t.answerTime(0))
+}
+
+// GivenUp removes and returns the openings that wait for nothing, with the reason: those that
+// cannot be answered within their patience any more, and all while the target cannot take
+// any.
+func (t *Tracker) GivenUp(now time.Duration) ([]waitline.Opening, Refusal) {
+	switch {
+	case t.line.Len() == 0:
+		return nil, Accepted
+	case t.leaving:
+		return t.line.Clear(), Leaving
+	case t.Unresponsive(now):
+		return t.line.Clear(), Unresponsive
+	}
+	return t.line.Expired(now, t.answerTime(0)), Busy
+}
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -107,6 +107,9 @@
 	// Age is the time since the caller sent the first copy of an opening, as far as it is
 	// known; 0 for other segments.
 	Age time.Duration
+	// Patience is the time until the caller gives up an opening that no target has accepted;
+	// 0 if unknown, and for other segments.
+	Patience time.Duration
 	// Mark holds 40 bits that balancers and agents set. A target returns the lower 32
 	// unchanged and clears the others.
 	Mark uint64
@@ -134,9 +137,6 @@
 	// RequestSize returns the size in bytes of the request that begins in a payload, with
 	// its header and body; 0 if none begins there or the size is not known.
 	RequestSize(data []byte) int
-	// OpeningTimeout returns the time after the first copy of an opening at which a caller
-	// gives up the opening if no target has accepted it.
-	OpeningTimeout() time.Duration
 	// Status returns the status of the answer that begins in a payload, or 0 if none
 	// does.
 	Status(data []byte) int
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -135,19 +135,30 @@
 		request = a.options.Codec.Request(a.options.Codec.Data(b))
 	}
 	now := a.clock.now()
-	mark := segment.Unpack(head.Mark)
+	mark := segment.UnpackOpening(head.Mark)
 	a.mu.Lock()
 	sender := a.balancerIndex(now, from)
 	mark.Sender = sender
 	refusal := a.tracker.Admit(now, head, mark)
 	var delivery occupancy.Delivery
-	if refusal == occupancy.Accepted {
+	switch refusal {
+	case occupancy.Accepted:
 		delivery = a.tracker.Delivered(now, head, mark, sender, request)
+	case occupancy.Waits:
+		refusal = a.wait(now, b, head, mark)
+	}
+	load := openingLoad{
+		pending: a.tracker.Pending(), waiting: a.tracker.Waiting(), expectedWait: a.tracker.ExpectedWait(),
+		service: a.tracker.ServiceTime(), quote: a.tracker.Quote(now, mark),
 	}
-	load := openingLoad{pending: a.tracker.Pending(), expectedWait: a.tracker.ExpectedWait(), service: a.tracker.ServiceTime()}
 	a.mu.Unlock()
-	if refusal != occupancy.Accepted {
-		mark.Busy = refusal == occupancy.Busy
+	switch refusal {
+	case occupancy.Accepted:
+	case occupancy.Waits:
+		a.metrics.Reason(int(refusal)).Inc()
+		a.sendWaiting(head.FromCaller(), sender)
+		return
+	default:
 		a.refuse(b, head, mark, refusal, load, from)
 		return
 	}
@@ -172,8 +183,10 @@
 
 // openingLoad is the load of the target on which an opening was decided.
 type openingLoad struct {
-	pending               int
+	pending, waiting      int
 	expectedWait, service time.Duration
+	// quote is the time in which the opening could be answered if it waited; 0 if unknown.
+	quote time.Duration
 }
 
 // refuse returns a segment that was not admitted to the balancer that sent it.
@@ -184,8 +197,10 @@
 		a.options.Logger.Log(telemetry.SegmentRefused, "flow", head.FromCaller().String(), "reason", reason.String(),
 			"attempt", mark.Attempt, "pending", load.pending, "expected_wait", load.expectedWait.Round(time.Millisecond),
 			"service_time", load.service.Round(time.Millisecond), "priority", mark.Priority, "budget", mark.Budget.Round(time.Millisecond),
-			"late", mark.Late)
+			"late", mark.Late, "patience", mark.Patience.Round(time.Millisecond), "waiting", load.waiting, "quote", load.quote.Round(time.Millisecond))
 	}
+	mark.Busy = reason == occupancy.Busy
+	mark.Budget, mark.Late = load.quote, false
 	a.options.Codec.Return(b, mark.Pack())
 	a.out.datagram(a.packets, b, to)
 }
@@ -247,10 +262,12 @@
 	a.mu.Lock()
 	answer := a.tracker.Answered(now, head, outcomeOf(status))
 	pending := a.tracker.Pending()
+	released := a.release(now)
 	a.mu.Unlock()
 	a.metrics.Answered.Inc()
 	to := netip.AddrPortFrom(head.Destination.AddrPort().Addr(), a.options.Packets.Port())
 	a.out.datagram(a.packets, b, to)
+	a.deliver(released)
 	if answer.ReportOwner {
 		a.sendOwner(head.FromTarget(), answer.Sender)
 	}
@@ -336,6 +353,8 @@
 		a.handlePing(message.GetPing(), from)
 	case message.GetQuery() != nil:
 		a.handleQuery(message.GetQuery(), from)
+	case message.GetWithdrawal() != nil:
+		a.handleWithdrawal(message.GetWithdrawal())
 	}
 }
 
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/peridotstall/peridotstall/internal/peers"
 	"github.com/peridotstall/peridotstall/internal/registry"
 	"github.com/peridotstall/peridotstall/internal/reports"
+	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/steering"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
@@ -67,6 +68,8 @@
 	// restored marks a flow restore: this balancer forwarded the flows before
 	// it was restarted. Otherwise the flows answer a query.
 	restored bool
+	// waiting marks an opening that waits at the agent of the target.
+	waiting bool
 	// negativeFrom is the host of the agent that sent a negative reply.
 	negativeFrom netip.Addr
 }
@@ -196,6 +199,9 @@
 			b.out.datagram(b.packets, data, t.Agent)
 		}
 		b.metrics.Forwarded.Inc()
+		if verdict.Withdraw != nil {
+			b.sendWithdrawal(verdict)
+		}
 	case steering.Hold:
 		b.hold(verdict.Flow, data)
 	case steering.Query:
@@ -213,6 +219,12 @@
 	b.logVerdict(now, head, verdict)
 }
 
+// sendWithdrawal asks the agent at which an opening waits to drop it.
+func (b *Balancer) sendWithdrawal(verdict *steering.Verdict) {
+	flow := verdict.Flow.Encode()
+	b.out.message(b.link, &schema.LinkMessage{Body: &schema.LinkMessage_Withdrawal{Withdrawal: &schema.LinkWithdrawal{Flow: flow[:]}}}, b.agentLink(verdict.Withdraw))
+}
+
 // logVerdict logs a verdict, except forwarding to a known target and further
 // segments of a flow whose owner is being searched.
 func (b *Balancer) logVerdict(now time.Duration, head segment.Head, verdict *steering.Verdict) {
@@ -251,9 +263,12 @@
 			r.target.SetFlowsRestored()
 		}
 		for _, flow := range r.flows {
-			if r.target == nil {
+			switch {
+			case r.target == nil:
 				b.applyNegativeReply(now, flow, r.negativeFrom)
-			} else {
+			case r.waiting:
+				b.engine.SetWaiting(flow, r.target)
+			default:
 				b.applyOwner(now, flow, r)
 			}
 		}
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -27,6 +27,8 @@
 	switch {
 	case message.GetLoad() != nil:
 		b.handleLoad(message.GetLoad(), from)
+	case message.GetWaiting() != nil:
+		b.handleWaiting(message.GetWaiting(), from)
 	case message.GetOwner() != nil:
 		b.handleOwner(message.GetOwner(), from)
 	case message.GetDenial() != nil:
@@ -49,7 +51,7 @@
 		return
 	}
 	t.Report(b.clock.now(), steering.Report{
-		Pending: m.Pending, MeanPending: float64(m.MeanPendingMilli) / 1000, Failing: float64(m.FailingMilli) / 1000,
+		Pending: m.Pending, Waiting: m.Waiting, MeanPending: float64(m.MeanPendingMilli) / 1000, Failing: float64(m.FailingMilli) / 1000,
 		ServiceTime:   time.Duration(m.ServiceMicros) * time.Microsecond,
 		ExcludedRanks: excludedRanks(m.ExcludedShares),
 		Unresponsive:  m.Unresponsive, Leaving: m.Leaving, Complete: m.Complete,
@@ -94,6 +96,18 @@
 	b.queueReport(flowReport{flows: []segment.Flow{flow}, target: t})
 }
 
+// handleWaiting queues the message that an opening waits at the agent of a target.
+func (b *Balancer) handleWaiting(m *schema.LinkWaiting, from netip.AddrPort) {
+	flow, ok := segment.DecodeFlow(m.Flow)
+	view := b.view.Load()
+	if !ok || view == nil {
+		return
+	}
+	if t := b.identify(view, from.Addr(), m.Identity, 0); t != nil {
+		b.queueReport(flowReport{flows: []segment.Flow{flow}, target: t, waiting: true})
+	}
+}
+
 // handleNegativeReply queues the message that a target does not hold a flow.
 func (b *Balancer) handleNegativeReply(m *schema.LinkDenial, from netip.AddrPort) {
 	flow, ok := segment.DecodeFlow(m.Flow)
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -16,9 +16,13 @@
 	a.mu.Lock()
 	a.tracker.Tick(now)
 	a.tracker.SetPeriod(segment.RankPeriodAt(time.Now()))
+	givenUp, reason := a.tracker.GivenUp(now)
+	released := a.release(now)
+	waiting := a.tracker.Waiting()
 	load := &schema.LinkLoad{
 		ServiceTag:       uint32(a.tracker.Tag()),
 		Pending:          uint32(max(a.tracker.Pending(), 0)),
+		Waiting:          uint32(waiting),
 		MeanPendingMilli: uint32(a.tracker.Mean(now) * 1000),
 		Unresponsive:     a.tracker.Unresponsive(now),
 		Leaving:          a.leaving,
@@ -47,7 +51,10 @@
 	startedFailing, stoppedFailing := !a.loggedFailing && share > failingAbove, a.loggedFailing && share < failingBelow
 	a.loggedFailing = startedFailing || a.loggedFailing && !stoppedFailing
 	a.mu.Unlock()
+	a.deliver(released)
+	a.returnOpenings(now, givenUp, reason, openingLoad{pending: int(load.Pending), waiting: waiting})
 	a.metrics.Pending.Set(int64(load.Pending))
+	a.metrics.Waiting.Set(int64(waiting))
 	if changed {
 		a.options.Logger.Log(telemetry.TargetResponds, "responds", !load.Unresponsive, "pending", load.Pending)
 	}
--- a/internal/segnode/waiting.go
+++ b/internal/segnode/waiting.go
@@ -52,6 +52,7 @@
 			continue
 		}
 		head.Age += now - w.at
+		head.Patience = max(head.Patience-(now-w.at), 0)
 		verdict := b.engine.Segment(now, head)
 		if verdict.Action == steering.Wait {
 			b.waiting = append(b.waiting, w)
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -133,13 +133,15 @@
 	Overloaded
 	// Expired: the timeout of the route is over before the opening is placed.
 	Expired
+	// Waiting: the opening waits at an agent.
+	Waiting
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"known", "opened", "repeated", "passed_on", "searching", "unconfigured", "no_route",
 	"no_target", "refused", "ownerless", "overfull", "diverted", "irrelevant", "unreported",
-	"overloaded", "expired",
+	"overloaded", "expired", "waiting",
 }
 
 // String returns the name used in logs and metrics.
@@ -156,9 +158,15 @@
 	// Attempt counts the targets that returned this opening before.
 	Attempt uint8
 	// Priority, Budget and Late are those of the opening's route; see segment.Mark.
-	Priority        uint8
-	Budget          time.Duration
-	Late            bool
+	Priority uint8
+	Budget   time.Duration
+	Late     bool
+	// Patience and MayWait are those of an opening; see segment.Mark.
+	Patience time.Duration
+	MayWait  bool
+	// Withdraw is the target at which the opening waits, if another one takes it; nil
+	// otherwise.
+	Withdraw        *Target
 	targets         [maxFanout]*Target
 	count           int
 	agents          []*Target
@@ -180,18 +188,32 @@
 func (v *Verdict) Mark(t *Target) uint64 {
 	return segment.Mark{
 		Tag: t.Tag, Attempt: v.Attempt, Search: v.Reason == Searching,
-		Priority: v.Priority, Budget: v.Budget, Late: v.Late,
-	}.Pack()
+		Priority: v.Priority, Budget: v.Budget, Late: v.Late, Patience: v.Patience, MayWait: v.MayWait,
+	}.PackOpening()
 }
 
-// setUrgency sets the priority and the budget of an opening of the given age.
-func (v *Verdict) setUrgency(route *registry.Route, age time.Duration) {
+// setUrgency sets the priority, the budget and the patience of an opening.
+func (v *Verdict) setUrgency(route *registry.Route, head segment.Head) {
 	v.Priority = min(route.Priority, segment.MaxPriority)
 	if route.Aim == 0 {
 		return
 	}
-	v.Budget = max(route.Aim-age, 0)
+	v.Budget = max(route.Aim-head.Age, 0)
 	v.Late = v.Budget == 0
+	v.Patience = patience(route, head)
+}
+
+// patience returns the time for which the caller of an opening waits for an answer; 0 if an
+// answer after the objective of the route is of no use, or the time is unknown.
+func patience(route *registry.Route, head segment.Head) time.Duration {
+	if route.Aim == 0 || route.Timeout <= route.Aim {
+		return 0
+	}
+	left := route.Timeout - head.Age
+	if head.Patience > 0 {
+		left = min(left, head.Patience)
+	}
+	return max(left, 0)
 }
 
 func (v *Verdict) add(t *Target) {
@@ -211,6 +233,8 @@
 	target *Target
 	// previous got an earlier copy of the opening and may hold the flow instead.
 	previous *Target
+	// waits is set if the opening waits at the agent of the target.
+	waits bool
 	// forgotten is set if a further target got a copy of the opening, did not return it
 	// and is no longer recorded.
 	forgotten bool
@@ -227,6 +251,8 @@
 	// TrustReports ends an opening after trustedBusyReturns refusals if the report of the
 	// best remaining candidate says that it refuses the opening too.
 	TrustReports bool
+	// Wait gives openings that several targets refused leave to wait at one of them.
+	Wait bool
 	// ByServiceTime compares targets by expected completion. Without it, they are
 	// compared by the number of requests per slot.
 	ByServiceTime bool
@@ -234,7 +260,7 @@
 
 // DefaultPolicy returns the policy with all mechanisms.
 func DefaultPolicy() Policy {
-	return Policy{MaxBusyReturns: maxBusyReturns, ByServiceTime: true, TrustReports: true}
+	return Policy{MaxBusyReturns: maxBusyReturns, ByServiceTime: true, TrustReports: true, Wait: true}
 }
 
 // Engine steers the segments of one balancer.
--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -22,7 +22,7 @@
 	r, known := e.records.Get(flow)
 	if known && head.Copy < r.openings && r.target != nil && r.target.acceptsFlows() {
 		// The network duplicated the segment, or the caller uses the port again.
-		return e.forwardOpening(Opened, flow, route, r.target, head.Age)
+		return e.forwardOpening(Opened, flow, route, r.target, head)
 	}
 	if !known && head.Copy == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
@@ -35,6 +35,13 @@
 		return Verdict{Action: Wait, Reason: Unreported, Flow: flow}
 	}
 	t := e.choose(now, service, flow, func(t *Target) bool { return t == r.target })
+	var withdraw *Target
+	if r.waits && r.target.holdsWaiting(now) {
+		if t == nil || !t.hasFreeSlot() {
+			return Verdict{Reason: Waiting, Flow: flow}
+		}
+		withdraw = r.target
+	}
 	if t == nil {
 		t = r.target
 	}
@@ -56,7 +63,9 @@
 		s.include(t)
 	}
 	t.openingsSent++
-	return e.forwardOpening(reason, flow, route, t, head.Age)
+	v := e.forwardOpening(reason, flow, route, t, head)
+	v.Withdraw = withdraw
+	return v
 }
 
 // supersede makes t the target of an opening. The earlier target may hold the flow
@@ -66,13 +75,13 @@
 		r.forgotten = r.forgotten || r.previous != nil && !(s != nil && s.excludes(r.previous))
 		r.previous = r.target
 	}
-	r.target = t
+	r.target, r.waits = t, false
 }
 
-// forwardOpening returns the verdict that sends an opening of the given age to a target.
-func (e *Engine) forwardOpening(reason Reason, flow segment.Flow, route *registry.Route, t *Target, age time.Duration) Verdict {
+// forwardOpening returns the verdict that sends an opening to a target.
+func (e *Engine) forwardOpening(reason Reason, flow segment.Flow, route *registry.Route, t *Target, head segment.Head) Verdict {
 	v := forwardTo(reason, flow, t, 0)
-	v.setUrgency(route, age)
+	v.setUrgency(route, head)
 	return v
 }
 
@@ -119,6 +128,9 @@
 	mark := segment.Unpack(head.Mark)
 	if mark.Busy {
 		s.busyReturns++
+		s.addQuote(e.view.TargetOn(from), mark.Budget)
+	} else {
+		s.mayWait = false
 	}
 	r, _ := e.records.Get(flow)
 	if head.Copy+1 < r.openings && r.target.onHost(from) {
@@ -127,20 +139,25 @@
 		return Verdict{Reason: Retried, Flow: flow}
 	}
 	if s.busyReturns >= e.policy.MaxBusyReturns {
-		return e.refuseOpening(flow, r, Overloaded)
+		return e.letWait(now, flow, route, head, s, r, Overloaded)
 	}
 	t := e.choose(now, route.Service(flow.Hash()), flow, s.excludes)
 	if t == nil {
-		return e.refuseOpening(flow, r, Refused)
+		return e.letWait(now, flow, route, head, s, r, Refused)
 	}
-	v := e.forwardOpening(Retried, flow, route, t, head.Age)
+	v := e.forwardOpening(Retried, flow, route, t, head)
 	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(now, t, &v) {
-		return e.refuseOpening(flow, r, Overloaded)
+		return e.letWait(now, flow, route, head, s, r, Overloaded)
 	}
+	return e.retryOpening(v, flow, head, s, r, t)
+}
+
+// retryOpening records that an opening that was returned goes to another target.
+func (e *Engine) retryOpening(v Verdict, flow segment.Flow, head segment.Head, s *search, r record, t *Target) Verdict {
 	r.supersede(s, t)
 	r.openings = max(r.openings, head.Copy+1)
 	e.records.Put(flow, r)
 	t.openingsSent++
-	v.Attempt = mark.Attempt + 1
+	v.Attempt = segment.Unpack(head.Mark).Attempt + 1
 	return v
 }
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -40,6 +40,12 @@
 	probedAt time.Duration
 	// busyReturns counts the targets that refused an opening because of their load.
 	busyReturns int
+	// quoted is the target that expects to answer the opening first, of those that refused
+	// it because of their load, and quote the time in which it does.
+	quoted *Target
+	quote  time.Duration
+	// mayWait is set once the opening was given leave to wait.
+	mayWait bool
 	// excluded hosts returned a segment, or their agents sent a negative reply.
 	excluded []netip.Addr
 }
@@ -54,9 +60,14 @@
 	}
 }
 
+// readmit makes a target that returned an opening a candidate for it again.
+func (s *search) readmit(t *Target) {
+	s.excluded = slices.DeleteFunc(s.excluded, t.onHost)
+}
+
 // include records that the target got another copy of an opening.
 func (s *search) include(t *Target) {
-	s.excluded = slices.DeleteFunc(s.excluded, t.onHost)
+	s.readmit(t)
 	s.busyReturns = 0
 }
 
--- a/internal/steering/view.go
+++ b/internal/steering/view.go
@@ -60,12 +60,16 @@
 	failingMilli atomic.Uint32
 	// unresponsive targets do not answer their agent; leaving agents are shutting down.
 	unresponsive, leaving atomic.Bool
+	// waiting counts the openings that wait at the agent.
+	waiting atomic.Uint32
 }
 
 // Report is the content of an agent's report.
 type Report struct {
 	Pending     uint32
 	MeanPending float64
+	// Waiting counts the openings that wait at the agent.
+	Waiting uint32
 	// ServiceTime is the mean time for which a request occupies a slot; 0 if unknown.
 	ServiceTime time.Duration
 	// ExcludedRanks holds for each priority the lowest rank of callers whose openings the
@@ -112,6 +116,7 @@
 // Report records a report of the target's agent.
 func (t *Target) Report(now time.Duration, r Report) {
 	t.load.pending.Store(r.Pending)
+	t.load.waiting.Store(r.Waiting)
 	t.load.meanMilli.Store(uint32(r.MeanPending * 1000))
 	t.load.failingMilli.Store(uint32(r.Failing * 1000))
 	for i, rank := range r.ExcludedRanks {
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -169,7 +169,7 @@
 		Message: "search found the owner of a flow", Fields: []string{"flow", "target", "queries", "waited"}}
 	SegmentRefused = Event{Number: 610, Level: log.InfoLevel, Name: "segment_refused",
 		Message: "segment refused; returning it to the balancer", Fields: []string{"flow", "reason", "attempt", "pending", "expected_wait", "service_time",
-			"priority", "budget", "late"}}
+			"priority", "budget", "late", "patience", "waiting", "quote"}}
 	SegmentReturned = Event{Number: 611, Level: log.InfoLevel, Name: "segment_returned",
 		Message: "target does not hold the flow or cannot open it; returning the segment", Fields: []string{"flow", "opening", "balancer"}}
 	AnswerUnusual = Event{Number: 612, Level: log.WarnLevel, Name: "answer_unusual",
@@ -184,6 +184,8 @@
 		Message: "target started or stopped failing a share of its requests", Fields: []string{"failing", "share", "pending"}}
 	FlowsTold = Event{Number: 617, Level: log.InfoLevel, Name: "flows_told",
 		Message: "sending a restarted balancer its flows for the flow restore", Fields: []string{"balancer", "flows"}}
+	OpeningWaits = Event{Number: 618, Level: log.InfoLevel, Name: "opening_waits",
+		Message: "opening waits until the target has room", Fields: []string{"flow", "balancer"}}
 	SendFailed = Event{Number: 620, Level: log.WarnLevel, Name: "send_failed",
 		Message: "datagram cannot be sent", Fields: []string{"to", "error"}}
 )
@@ -199,6 +201,6 @@
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
-		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold, SendFailed,
+		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold, OpeningWaits, SendFailed,
 	}
 }
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -53,9 +53,9 @@
 	AnswersFailed, Resets, Malformed, SendErrors, Overruns     Counter
 	StoreCalls, StoreErrors, PullErrors, EntriesUnusable       Counter
 	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
-	RoutesUnusable                                             Gauge
+	RoutesUnusable, Waiting                                    Gauge
 	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
-	ExpectedWait, WaitError                                    *Histogram
+	ExpectedWait, WaitError, OpeningWait                       *Histogram
 
 	reasons     [maxReasons]Counter
 	reasonNames []string
@@ -129,6 +129,8 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Flows }),
 		gaugeDesc("pending", "requests", "agent: requests running or queued at the target",
 			func(m *SegmentMetrics) *Gauge { return &m.Pending }),
+		gaugeDesc("openings_waiting", "openings", "agent: openings that wait until the target has room",
+			func(m *SegmentMetrics) *Gauge { return &m.Waiting }),
 		gaugeDesc("routes_version", "version", "balancer: version of the routes in force",
 			func(m *SegmentMetrics) *Gauge { return &m.Version }),
 		gaugeDesc("store_epoch", "restores", "balancer: epoch of the store that the table in force is from; 0 if unknown",
@@ -146,6 +148,8 @@
 			func(m *SegmentMetrics) *Histogram { return m.ExpectedWait }),
 		histogramDesc("wait_error", "agent: difference between answer_wait and expected_wait",
 			func(m *SegmentMetrics) *Histogram { return m.WaitError }),
+		histogramDesc("opening_wait", "agent: time for which an opening waited until the target had room",
+			func(m *SegmentMetrics) *Histogram { return m.OpeningWait }),
 		histogramDesc("opening_to_answer", "agent: time from the opening of a flow to the first data of its first answer",
 			func(m *SegmentMetrics) *Histogram { return m.OpeningToAnswer }),
 		histogramDesc("store_call", "balancer: duration of a call to the store; a watch without changes lasts until its timeout",
@@ -170,7 +174,7 @@
 func NewSegmentMetrics(name string, reasons ...string) *SegmentMetrics {
 	m := &SegmentMetrics{
 		AnswerWait: newHistogram(), OpeningToAnswer: newHistogram(), StoreCall: newHistogram(), Search: newHistogram(),
-		ExpectedWait: newHistogram(), WaitError: newHistogram(),
+		ExpectedWait: newHistogram(), WaitError: newHistogram(), OpeningWait: newHistogram(),
 		reasonNames: reasons, vars: new(expvar.Map),
 	}
 	for _, desc := range SegmentMetricDescs() {
