--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -129,8 +129,9 @@
 	if mark.Busy {
 		s.busyReturns++
 		s.addQuote(e.view.TargetOn(from), mark.Budget)
-	} else {
-		s.mayWait = false
+	} else if s.mayWait {
+		// Its agent gave up all openings that waited.
+		s.mayWait, s.busyReturns = false, 0
 	}
 	r, _ := e.records.Get(flow)
 	if head.Copy+1 < r.openings && r.target.onHost(from) {
