--- a/internal/occupancy/waiting.go
+++ b/internal/occupancy/waiting.go
@@ -75,7 +75,7 @@
 	service := t.serviceTime(mark.Patience)
 	perSlot := service.Seconds() / float64(t.work.slots)
 	left := 1 - min(maxTakenShare, t.taken.perSecond(now)*perSlot)
-	ahead := t.pending - t.work.slots + 1 + t.line.Ahead(mark.Priority, mark.Late)
+	ahead := t.load() - t.work.slots + 1 + t.line.Ahead(mark.Priority, mark.Late)
 	return time.Duration(float64(max(ahead, 0)) * perSlot / left * float64(time.Second))
 }
 
@@ -107,7 +107,7 @@
 // Released returns the opening that goes to the target now, if one waits and the target has
 // room for it.
 func (t *Tracker) Released(now time.Duration) (waitline.Opening, bool) {
-	if t.line.Len() == 0 || t.leaving || t.Unresponsive(now) || t.pending >= t.work.slots+prefetch {
+	if t.line.Len() == 0 || t.leaving || t.Unresponsive(now) || t.load() >= t.work.slots+prefetch {
 		return waitline.Opening{}, false
 	}
 	return t.line.Next(now, t.answerTime(0))
--- a/internal/occupancy/work.go
+++ b/internal/occupancy/work.go
@@ -1,6 +1,7 @@
 package occupancy
 
 import (
+	"math"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/segment"
@@ -10,6 +11,11 @@
 	// sampleWeight is the weight of a new sample in the mean service time and the mean
 	// round trip time.
 	sampleWeight = 0.1
+	// openingRoundTrips and longestMargin are the multiples of the mean and the longest
+	// round trip for which an accepted opening counts as pending before its first request.
+	openingRoundTrips, longestMargin = 4, 2
+	// longestDecay is the share by which a sample lowers the longest round trip.
+	longestDecay = 0.02
 	// shedLimitRecovery is the time in which the learnt queue limit grows by one request.
 	shedLimitRecovery = time.Second
 )
@@ -28,6 +34,12 @@
 	// service is the mean service time, roundTrip the mean time from the acceptance of an
 	// opening to the first data of the caller; 0 before the first sample.
 	service, roundTrip time.Duration
+	// longestRoundTrip follows the longest recent round trips, up to openingTTL; 0 before the
+	// first sample.
+	longestRoundTrip time.Duration
+	// arrival is the mean time in which requests of several segments arrive; 0 before the
+	// first sample.
+	arrival time.Duration
 	// shedLimit is the number of pending requests at which the target shed one at
 	// shedAt; 0 if it has shed none.
 	shedLimit int
@@ -48,7 +60,31 @@
 func (w *work) observe(service time.Duration) { w.service = ewma(w.service, service) }
 
 // observeRoundTrip adds a sample of the round trip time to a caller.
-func (w *work) observeRoundTrip(rtt time.Duration) { w.roundTrip = ewma(w.roundTrip, rtt) }
+func (w *work) observeRoundTrip(rtt time.Duration) {
+	w.roundTrip = ewma(w.roundTrip, rtt)
+	w.longestRoundTrip = max(min(rtt, openingTTL), w.longestRoundTrip-time.Duration(longestDecay*float64(w.longestRoundTrip)))
+}
+
+// openingTTL returns the time for which an accepted opening counts as pending before its
+// first request.
+func (w *work) openingTTL() time.Duration {
+	if w.roundTrip == 0 {
+		return openingTTL
+	}
+	return min(openingTTL, max(openingRoundTrips*w.roundTrip, longestMargin*w.longestRoundTrip))
+}
+
+// observeArrival adds a sample of the time in which a request arrives.
+func (w *work) observeArrival(took time.Duration) { w.arrival = ewma(w.arrival, took) }
+
+// servedInArrival returns the number of requests that the slots serve in the time that a
+// request takes to arrive. It is unlimited while the service time is unknown.
+func (w *work) servedInArrival() int {
+	if w.slots == 0 || w.service == 0 || w.arrival == 0 {
+		return math.MaxInt
+	}
+	return int(float64(w.slots) * float64(w.arrival) / float64(w.service))
+}
 
 func ewma(mean, sample time.Duration) time.Duration {
 	if mean == 0 {
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -110,6 +110,9 @@
 	// Patience is the time until the caller gives up an opening that no target has accepted;
 	// 0 if unknown, and for other segments.
 	Patience time.Duration
+	// RequestSize is the size in bytes of the request that begins in the segment, with its
+	// header and body; 0 if none begins there or the size is not known. Parse leaves it 0.
+	RequestSize int
 	// Mark holds 40 bits that balancers and agents set. A target returns the lower 32
 	// unchanged and clears the others.
 	Mark uint64
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -43,6 +43,7 @@
 		}
 		balancer.pinged = false
 	}
+	arriving := a.tracker.Arriving()
 	identity := a.identity()
 	identity.ServiceTag = 0
 	a.urgent = false
@@ -55,6 +56,7 @@
 	a.returnOpenings(now, givenUp, reason, openingLoad{pending: int(load.Pending), waiting: waiting})
 	a.metrics.Pending.Set(int64(load.Pending))
 	a.metrics.Waiting.Set(int64(waiting))
+	a.metrics.Arriving.Set(int64(arriving))
 	if changed {
 		a.options.Logger.Log(telemetry.TargetResponds, "responds", !load.Unresponsive, "pending", load.Pending)
 	}
