loadmodel: returns of all callers, waves, uneven targets, surges, an emptied zone; the best possible

Cause: the model had no load in which targets lose power too, rates swing, work has a tail or a zone gets nothing, one column for late and failed answers together, and nothing to compare with but the capacity. Change: patterns all-return-at-once, all-return-cold, wave, uneven-tail, surge-of-one-kind and zone-emptied; columns failed and worth (--late-worth); the row (best), a bound computed from the times and work of the requests. Ruled out: an earliest-deadline schedule as the bound; under overload it is none, so that the requests with the most work are dropped (optimum of one server, checked against all subsets).

--- a/internal/loadmodel/ablation.go
+++ b/internal/loadmodel/ablation.go
@@ -47,21 +47,33 @@
 	return sum
 }
 
-// WriteAblation writes a table of a pattern with all mechanisms and without each.
-func WriteAblation(out io.Writer, p Pattern, seeds int) error {
+// WriteAblation writes a table of a pattern with the best possible, all mechanisms and
+// without each. Change, if not nil, changes the configuration of all rows.
+func WriteAblation(out io.Writer, p Pattern, seeds int, change func(*Config)) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	c := p.Config(1)
+	if change != nil {
+		change(&c)
+	}
 	fmt.Fprintf(table, "%s: %s; %d seeds, offered %.0f/s, capacity %.0f/s\n", p.Name, p.Load, seeds, c.Offered(), c.Capacity())
-	fmt.Fprintln(table, "without\tclass\tin time\tlate\trefused at once\trefused late\tpasses\tshed")
+	fmt.Fprintln(table, "without\tclass\tin time\tlate\tfailed\tworth\trefused at once\trefused late\tpasses\tshed")
 	write := func(name string, r Result) {
 		for _, class := range append(r.Classes, r.Total()) {
-			fmt.Fprintf(table, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%d\n", name, class.Name, class.InTimeShare(),
-				class.share(class.Late), class.share(class.RefusedAtOnce), class.share(class.RefusedLate), r.PassesPerOpening(), r.Shed)
+			fmt.Fprintf(table, "%s\t%s\t%.3f\t%.3f\t%.4f\t%.3f\t%.3f\t%.3f\t%.2f\t%d\n", name, class.Name, class.InTimeShare(),
+				class.share(class.Late), class.FailedShare(), class.WorthShare(),
+				class.share(class.RefusedAtOnce), class.share(class.RefusedLate), r.PassesPerOpening(), r.Shed)
 		}
 	}
-	write("(none)", RunSeeds(p, seeds, nil))
+	best := BestOfSeeds(p, seeds, change)
+	fmt.Fprintf(table, "(best)\tall\t%.3f\t\t%.4f\t%.3f\t\t\t\t\n", best.InTimeShare(), best.FailedShare(), best.WorthShare())
+	write("(none)", RunSeeds(p, seeds, change))
 	for _, m := range Mechanisms() {
-		write(m.Name, RunSeeds(p, seeds, m.disable))
+		write(m.Name, RunSeeds(p, seeds, func(c *Config) {
+			if change != nil {
+				change(c)
+			}
+			m.disable(c)
+		}))
 	}
 	return table.Flush()
 }
--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -12,6 +12,13 @@
 
 const openingTimeout = 1400 * time.Millisecond
 
+// minRetransmitTimeout is the time after which a caller sends a request again. It doubles up
+// to maxRetransmitTimeout.
+const (
+	minRetransmitTimeout = 200 * time.Millisecond
+	maxRetransmitTimeout = 1600 * time.Millisecond
+)
+
 // callers is the number of hosts with callers.
 const callers = 400
 
@@ -38,8 +45,8 @@
 
 // scheduleArrival schedules the next request of a class.
 func (m *model) scheduleArrival(class int) {
-	c := m.config.Classes[class]
-	rate := c.Rate
+	c := &m.config.Classes[class]
+	rate := c.Rate * m.config.Wave.factor(m.elapsed())
 	for _, surge := range m.config.Surges {
 		if surge.Class == c.Name && m.elapsed() >= surge.From && m.elapsed() < surge.To {
 			rate *= surge.Factor
@@ -50,13 +57,17 @@
 			return
 		}
 		m.scheduleArrival(class)
-		r := &request{class: class, caller: m.arrivals.IntN(callers), work: work(m.arrivals, c.Work), began: m.now}
-		m.result.Classes[class].Asked++
-		m.after(c.Timeout, func() { m.end(r, 0) })
-		m.open(r)
+		m.begin(&request{class: class, caller: m.arrivals.IntN(callers), work: work(m.arrivals, c), began: m.now})
 	})
 }
 
+// ask starts a request of a caller.
+func (m *model) ask(r *request) {
+	m.result.Classes[r.class].Asked++
+	m.after(m.config.Classes[r.class].Timeout, func() { m.end(r, 0) })
+	m.open(r)
+}
+
 // open starts the next try of a request.
 func (m *model) open(r *request) {
 	if r.done {
@@ -111,6 +122,23 @@
 	}
 	t.owner = owner
 	m.after(callerDelay+hopDelay, func() { owner.receiveRequest(t) })
+	if m.config.TargetsDown {
+		m.retransmit(t, owner.born, minRetransmitTimeout)
+	}
+}
+
+// retransmit sends the request of a try again until it ends. A target that has lost the flow
+// since it started an incarnation returns it, and the caller gets a reset.
+func (m *model) retransmit(t *try, born uint64, timeout time.Duration) {
+	m.after(timeout, func() {
+		switch {
+		case t.ended || t.request.done:
+		case !t.owner.down && t.owner.born != born:
+			m.after(2*(callerDelay+hopDelay), func() { m.fail(t) })
+		default:
+			m.retransmit(t, born, min(2*timeout, maxRetransmitTimeout))
+		}
+	})
 }
 
 // answered handles the answer to a try.
@@ -156,14 +184,11 @@
 		result.InTime++
 	case took > 0:
 		result.Late++
+		result.LateWorth += class.LateWorth
 	case waited <= class.Objective:
 		result.RefusedAtOnce++
 	default:
 		result.RefusedLate++
 	}
-	if took > 0 {
-		m.result.record(m.elapsed()-waited, took <= class.Objective)
-	} else {
-		m.result.record(m.elapsed()-waited, false)
-	}
+	m.result.record(m.elapsed()-waited, took > 0 && took <= class.Objective, took > 0)
 }
--- a/internal/loadmodel/command.go
+++ b/internal/loadmodel/command.go
@@ -15,6 +15,7 @@
 func NewCommand() *cobra.Command {
 	var pattern string
 	var seeds int
+	var lateWorth float64
 	command := &cobra.Command{
 		Use:   "loadmodel",
 		Short: "Simulate patterns of load and switch off the mechanisms of admission one by one",
@@ -23,6 +24,9 @@
 			if seeds < 1 {
 				return errors.Errorf("seeds %d: must be at least 1", seeds)
 			}
+			if !(lateWorth >= 0 && lateWorth <= 1) {
+				return errors.Errorf("late-worth %v: must be from 0 to 1", lateWorth)
+			}
 			patterns := Patterns()
 			if pattern != "" {
 				p, ok := Named(pattern)
@@ -32,7 +36,7 @@
 				patterns = []Pattern{p}
 			}
 			for _, p := range patterns {
-				if err := WriteAblation(c.OutOrStdout(), p, seeds); err != nil {
+				if err := WriteAblation(c.OutOrStdout(), p, seeds, func(c *Config) { c.setLateWorth(lateWorth) }); err != nil {
 					return err
 				}
 				fmt.Fprintln(c.OutOrStdout())
@@ -41,6 +45,7 @@
 		},
 	}
 	command.Flags().StringVar(&pattern, "pattern", "", "name of the pattern; all if empty")
+	command.Flags().Float64Var(&lateWorth, "late-worth", defaultLateWorth, "what an answer after its objective is worth, from 0 to 1")
 	command.Flags().IntVar(&seeds, "seeds", defaultSeeds, "number of seeds of each row, from 1 on")
 	return command
 }
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -239,7 +239,7 @@
 	c := qt.New(t)
 	var out bytes.Buffer
 	p, _ := Named("burst")
-	c.Assert(WriteAblation(&out, p, 1), qt.IsNil)
+	c.Assert(WriteAblation(&out, p, 1, nil), qt.IsNil)
 	for _, m := range Mechanisms() {
 		c.Check(out.String(), qt.Contains, m.Name)
 	}
--- a/internal/loadmodel/target.go
+++ b/internal/loadmodel/target.go
@@ -68,8 +68,12 @@
 // target is a target with its agent; tracker is nil while the agent is down.
 type target struct {
 	Target
-	model   *model
-	host    netip.Addr
+	model *model
+	host  netip.Addr
+	// born is the number of the target's incarnation, from 0 on; down is set while it has
+	// lost power.
+	born    uint64
+	down    bool
 	tracker *occupancy.Tracker
 	running int
 	queue   []*try
@@ -89,7 +93,9 @@
 	m.after(hopDelay, func() {
 		for _, b := range m.balancers {
 			if b.engine != nil {
-				b.engine.View().TargetOn(t.host).Report(m.now, report)
+				if seen := b.engine.View().TargetOn(t.host); seen != nil {
+					seen.Report(m.now, report)
+				}
 			}
 		}
 	})
@@ -154,7 +160,11 @@
 	if m.elapsed() < t.ColdUntil {
 		work = time.Duration(float64(work) * ColdFactor)
 	}
+	born := t.born
 	m.after(time.Duration(float64(work)/t.Speed), func() {
+		if t.born != born {
+			return
+		}
 		t.running--
 		t.answer(try, true)
 		if len(t.queue) > 0 {
@@ -165,6 +175,12 @@
 	})
 }
 
+// lose ends the incarnation of the target with its requests.
+func (t *target) lose() {
+	t.born++
+	t.down, t.running, t.queue = true, 0, nil
+}
+
 // answer sends an answer through the agent to the caller.
 func (t *target) answer(try *try, success bool) {
 	if t.tracker == nil {
