--- a/internal/loadmodel/ablation.go
+++ b/internal/loadmodel/ablation.go
@@ -24,6 +24,8 @@
 		{"learnt shed limit", func(c *Config) { c.Admission.LearnShed = false }},
 		{"bounded busy returns", func(c *Config) { c.Choice.MaxBusyReturns = unlimitedReturns }},
 		{"refusal by reports", func(c *Config) { c.Choice.TrustReports = false }},
+		{"openings that wait", func(c *Config) { c.Admission.Wait, c.Choice.Wait = false, false }},
+		{"openings expire by round trips", func(c *Config) { c.Admission.MeasuredOpenings = false }},
 		{"choice by service time", func(c *Config) { c.Choice.ByServiceTime = false }},
 	}
 }
--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -87,7 +87,7 @@
 			}
 			m.result.Openings++
 			head := segment.Head{
-				Source: t.flow.Caller, Destination: t.flow.Service, Opening: true, Copy: uint32(number), Age: delay,
+				Source: t.flow.Caller, Destination: t.flow.Service, Opening: true, Copy: uint32(number), Age: delay, Patience: openingTimeout - delay,
 			}
 			b := m.route(t.flow)
 			m.after(callerDelay, func() { b.receive(head) })
--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -286,6 +286,7 @@
 		m.after(m.upTo(spread), func() {
 			t.down = false
 			t.tracker = occupancy.NewWithPolicy(serviceName, m.config.Admission)
+			t.waiting = make(map[segment.Flow]waitingOpening)
 			t.tracker.SetSlots(t.Slots)
 			t.report()
 		})
@@ -342,6 +343,7 @@
 	for _, t := range m.targets {
 		if t.tracker != nil {
 			t.tracker.Tick(m.now)
+			t.serveLine()
 		}
 	}
 	m.after(tickInterval, m.tick)
--- a/internal/loadmodel/target.go
+++ b/internal/loadmodel/target.go
@@ -41,9 +41,13 @@
 			m.result.Forwards++
 			m.after(hopDelay, func() { m.targetOn(to.Agent.Addr()).receiveOpening(b, head) })
 		}
+		if v.Withdraw != nil {
+			m.after(hopDelay, func() { m.targetOn(v.Withdraw.Agent.Addr()).withdraw(v.Flow) })
+		}
 	case steering.Wait:
 		if waited := head.Age - copyDelays[head.Copy]; waited < waitingTimeout {
 			head.Age += waitingInterval
+			head.Patience -= waitingInterval
 			m.after(waitingInterval, func() { b.receive(head) })
 		}
 	case steering.Reset:
@@ -77,6 +81,8 @@
 	tracker *occupancy.Tracker
 	running int
 	queue   []*try
+	// waiting holds the openings in the line of the tracker.
+	waiting map[segment.Flow]waitingOpening
 }
 
 // report sends the load to all balancers.
@@ -87,6 +93,7 @@
 		return
 	}
 	report := steering.Report{
+		Waiting: uint32(tracker.Waiting()),
 		Pending: uint32(max(tracker.Pending(), 0)), MeanPending: tracker.Mean(m.now), Failing: tracker.Failing(m.now),
 		ServiceTime: tracker.ServiceTime(), ExcludedRanks: tracker.ExcludedRanks(), Unresponsive: tracker.Unresponsive(m.now), Complete: true,
 	}
@@ -106,23 +113,53 @@
 	})
 }
 
-// receiveOpening admits an opening or returns it to its balancer.
+// receiveOpening admits an opening, lets it wait or returns it to its balancer.
 func (t *target) receiveOpening(from *balancer, head segment.Head) {
 	m := t.model
 	if t.tracker == nil {
 		return
 	}
-	mark := segment.Unpack(head.Mark)
-	if refusal := t.tracker.Admit(m.now, head, mark); refusal != occupancy.Accepted {
-		mark.Busy = refusal == occupancy.Busy
-		head.Returned, head.Mark = true, mark.Pack()
+	mark := segment.UnpackOpening(head.Mark)
+	switch refusal := t.tracker.Admit(m.now, head, mark); {
+	case refusal == occupancy.Accepted:
+		t.accept(head, mark)
+	case refusal == occupancy.Waits && t.tracker.Wait(m.now, head, mark, 0, nil):
+		flow := head.FromCaller()
+		t.waiting[flow] = waitingOpening{from, head}
 		m.after(hopDelay, func() {
 			if from.engine != nil {
-				from.execute(head, from.engine.Returned(m.now, t.host, head))
+				if seen := from.engine.View().TargetOn(t.host); seen != nil {
+					from.engine.SetWaiting(flow, seen)
+				}
 			}
 		})
-		return
+	default:
+		t.refuse(from, head, mark, refusal)
 	}
+}
+
+// waitingOpening is an opening that waits, with the balancer that sent it.
+type waitingOpening struct {
+	from *balancer
+	head segment.Head
+}
+
+// refuse returns an opening to its balancer.
+func (t *target) refuse(from *balancer, head segment.Head, mark segment.Mark, reason occupancy.Refusal) {
+	m := t.model
+	mark.Busy = reason == occupancy.Busy || reason == occupancy.Waits
+	mark.Budget, mark.Late = t.tracker.Quote(m.now, mark), false
+	head.Returned, head.Mark = true, mark.Pack()
+	m.after(hopDelay, func() {
+		if from.engine != nil {
+			from.execute(head, from.engine.Returned(m.now, t.host, head))
+		}
+	})
+}
+
+// accept delivers an opening to the target, which accepts it.
+func (t *target) accept(head segment.Head, mark segment.Mark) {
+	m := t.model
 	t.tracker.Delivered(m.now, head, mark, 0, nil)
 	flow := head.FromCaller()
 	t.tracker.Answered(m.now, segment.Head{Source: flow.Service, Destination: flow.Caller, Opening: true, Accepted: true}, occupancy.Succeeded)
@@ -133,6 +170,31 @@
 	})
 }
 
+// withdraw drops a waiting opening.
+func (t *target) withdraw(flow segment.Flow) {
+	if t.tracker != nil {
+		t.tracker.Withdraw(flow)
+		delete(t.waiting, flow)
+	}
+}
+
+// serveLine delivers the waiting openings for which there is room and returns those that wait
+// for nothing.
+func (t *target) serveLine() {
+	m := t.model
+	for o, ok := t.tracker.Released(m.now); ok; o, ok = t.tracker.Released(m.now) {
+		head := t.waiting[o.Flow].head
+		delete(t.waiting, o.Flow)
+		t.accept(head, segment.UnpackOpening(head.Mark))
+	}
+	openings, reason := t.tracker.GivenUp(m.now)
+	for _, o := range openings {
+		w := t.waiting[o.Flow]
+		delete(t.waiting, o.Flow)
+		t.refuse(w.from, w.head, segment.UnpackOpening(w.head.Mark), reason)
+	}
+}
+
 // receiveRequest starts a request, queues it or sheds it.
 func (t *target) receiveRequest(try *try) {
 	if t.tracker == nil {
@@ -193,5 +255,6 @@
 	flow := try.flow
 	t.tracker.Answered(t.model.now, segment.Head{Source: flow.Service, Destination: flow.Caller, DataLength: 100}, outcome)
 	t.tracker.Answered(t.model.now, segment.Head{Source: flow.Service, Destination: flow.Caller, Ended: true}, occupancy.Succeeded)
+	t.serveLine()
 	t.model.after(callerDelay, func() { t.model.answered(try, success) })
 }
