--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -169,8 +169,8 @@
 	failures failures
 	work     work
 	level    level
-	// taken is the rate of openings that go to the target without waiting.
-	taken rate
+	// demand is the rate of openings whose first copy comes here first.
+	demand rate
 	// line holds the openings that wait.
 	line *waitline.Line
 }
@@ -312,6 +312,9 @@
 	}
 	t.expireOpenings(now)
 	t.observeDemand(now, mark)
+	if head.Copy == 0 && mark.Attempt == 0 {
+		t.demand.add(now)
+	}
 	switch {
 	case t.leaving:
 		return Leaving
@@ -323,7 +326,6 @@
 		}
 		return Busy
 	}
-	t.taken.add(now)
 	t.line.Remove(head.FromCaller())
 	if t.Unresponsive(now) {
 		t.lastProbe = now
--- a/internal/occupancy/waiting.go
+++ b/internal/occupancy/waiting.go
@@ -12,11 +12,13 @@
 	// unknownServiceShare is the share of an opening's patience that is assumed as the
 	// service time until the first answer.
 	unknownServiceShare = 0.05
-	// maxTakenShare bounds the share of the slots that openings which do not wait are
-	// expected to take: the estimate is as old as rateWindow.
-	maxTakenShare = 0.9
-	// rateWindow is the time constant of the rate of openings.
-	rateWindow = 500 * time.Millisecond
+	// minSpareShare is the share of the slots that new openings have to leave for those that
+	// wait. Under a lasting overload nothing waits: it would take slots from openings that
+	// can still meet their objective.
+	minSpareShare = 0.05
+	// rateWindow is the time constant of the rate of openings. An overload that is shorter is a
+	// backlog, which clears.
+	rateWindow = 2 * time.Second
 	// prefetch is the number of openings beyond the free slots that go to the target, so
 	// that a slot is not idle for the round trip to the caller.
 	prefetch = 1
@@ -52,7 +54,8 @@
 	if !t.policy.Wait || !mark.MayWait || mark.Patience == 0 || t.work.slots == 0 {
 		return false
 	}
-	return t.expectedTurn(now, mark)+t.answerTime(mark.Patience) <= mark.Patience
+	turn, ok := t.expectedTurn(now, mark)
+	return ok && turn+t.answerTime(mark.Patience) <= mark.Patience
 }
 
 // serviceTime returns the mean service time, or an assumed one that suits a patience.
@@ -70,13 +73,15 @@
 }
 
 // expectedTurn returns the expected time until an opening that joins the line goes to the
-// target. Openings that do not wait take their share of the slots meanwhile.
-func (t *Tracker) expectedTurn(now time.Duration, mark segment.Mark) time.Duration {
-	service := t.serviceTime(mark.Patience)
-	perSlot := service.Seconds() / float64(t.work.slots)
-	left := 1 - min(maxTakenShare, t.taken.perSecond(now)*perSlot)
+// target; false if new openings leave no slots for those that wait.
+func (t *Tracker) expectedTurn(now time.Duration, mark segment.Mark) (time.Duration, bool) {
+	perSlot := t.serviceTime(mark.Patience).Seconds() / float64(t.work.slots)
+	spare := 1 - t.demand.perSecond(now)*perSlot
+	if spare < minSpareShare {
+		return 0, false
+	}
 	ahead := t.load() - t.work.slots + 1 + t.line.Ahead(mark.Priority, mark.Late)
-	return time.Duration(float64(max(ahead, 0)) * perSlot / left * float64(time.Second))
+	return time.Duration(float64(max(ahead, 0)) * perSlot / spare * float64(time.Second)), true
 }
 
 // Quote returns the time in which an opening that is refused now could be answered if it
@@ -85,7 +90,11 @@
 	if mark.Patience == 0 || t.work.slots == 0 {
 		return 0
 	}
-	return t.expectedTurn(now, mark) + t.answerTime(mark.Patience)
+	turn, ok := t.expectedTurn(now, mark)
+	if !ok {
+		return 0
+	}
+	return turn + t.answerTime(mark.Patience)
 }
 
 // Wait adds an opening that Admit let wait to the line, and reports whether there was room
--- a/internal/occupancy/waiting_test.go
+++ b/internal/occupancy/waiting_test.go
@@ -13,7 +13,7 @@
 // the given time.
 func lateMark(patience time.Duration, mayWait bool) segment.Mark {
 	m := mark
-	m.Late, m.Patience, m.MayWait = true, patience, mayWait
+	m.Late, m.Patience, m.MayWait, m.Attempt = true, patience, mayWait, 4
 	return m
 }
 
