Merge openings that wait within the patience of their callers

Cause: admission knew one time of a request, its objective. Change: package waitline; occupancy lets openings wait that balancers give leave to, sent to the target with the shortest quoted time after a few refusals; copies of a waiting opening are dropped or withdraw it. In force on routes with an objective and a longer timeout.

--- a/internal/occupancy/admission.go
+++ b/internal/occupancy/admission.go
@@ -35,6 +35,8 @@
 	Level bool
 	// LearnShed refuses openings when the target is expected to shed them.
 	LearnShed bool
+	// Wait lets openings that balancers give leave to wait do so within their patience.
+	Wait bool
 	// WholeRequests counts requests of known size from their last byte. Without it, all
 	// requests count from their first segment.
 	WholeRequests bool
@@ -45,7 +47,10 @@
 
 // DefaultPolicy returns the policy with all mechanisms.
 func DefaultPolicy() Policy {
-	return Policy{ByTime: true, LateToFreeSlots: true, Level: true, LearnShed: true, WholeRequests: true, MeasuredOpenings: true}
+	return Policy{
+		ByTime: true, LateToFreeSlots: true, Level: true, LearnShed: true,
+		WholeRequests: true, MeasuredOpenings: true, Wait: true,
+	}
 }
 
 // busy reports whether an opening is refused because of the load of the target. An
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/waitline"
 	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
@@ -38,8 +39,8 @@
 	maxFlows = 1 << 16
 )
 
-// Refusal is the result of the admission of a segment: Accepted, or the reason why the
-// segment is refused.
+// Refusal is the result of the admission of a segment: Accepted, Waits, or the reason why
+// the segment is refused.
 type Refusal uint8
 
 // Results of the admission of a segment.
@@ -59,9 +60,11 @@
 	Evacuated
 	// WarmingUp: the target is cold and has taken as many requests as it may.
 	WarmingUp
+	// Waits: the opening waits at the agent until the target has room.
+	Waits
 )
 
-var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "evacuated", "warming_up"}
+var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "evacuated", "warming_up", "waits"}
 
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -178,6 +181,10 @@
 	work     work
 	level    level
 	warmup   *warmup.Limiter
+	// demand is the rate of openings whose first copy comes here first.
+	demand rate
+	// line holds the openings that wait.
+	line *waitline.Line
 }
 
 // New returns a tracker for a target of the given service.
@@ -194,6 +201,7 @@
 		failures: failures{answerTimeout: defaultAnswerTimeout},
 		level:    newLevel(),
 		warmup:   warmup.New(0, warmup.Tolerance{}),
+		line:     waitline.New(),
 	}
 }
 
@@ -333,6 +341,9 @@
 	}
 	t.expireOpenings(now)
 	t.observeDemand(now, mark)
+	if head.Copy == 0 && mark.Attempt == 0 {
+		t.demand.add(now)
+	}
 	switch {
 	case t.leaving:
 		return Leaving
@@ -341,10 +352,14 @@
 	case t.Unresponsive(now) && now-t.lastProbe < probeInterval:
 		return Unresponsive
 	case t.busy(now, mark, head.Source):
+		if t.line.Contains(head.FromCaller()) || t.mayWait(now, mark) {
+			return Waits
+		}
 		return Busy
 	case !t.admitWarmup(now, head, mark):
 		return WarmingUp
 	}
+	t.line.Remove(head.FromCaller())
 	if t.Unresponsive(now) {
 		t.lastProbe = now
 	}
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -106,11 +106,11 @@
 	AnswersFailed, Resets, Malformed, SendErrors, Overruns     Counter
 	StoreCalls, StoreErrors, PullErrors, EntriesUnusable       Counter
 	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
-	RoutesUnusable, Arriving                                   Gauge
+	RoutesUnusable, Waiting, Arriving                          Gauge
 	EvacuatedZones                                             EvacuatedZones
 	WarmupCredit, WarmupOpenings, WarmupPeak                   Gauge
 	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
-	ExpectedWait, WaitError, RequestArrival                    *Histogram
+	ExpectedWait, WaitError, OpeningWait, RequestArrival       *Histogram
 
 	reasons     [maxReasons]Counter
 	reasonNames []string
@@ -184,6 +184,8 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Flows }),
 		gaugeDesc("pending", "requests", "agent: requests running or queued at the target",
 			func(m *SegmentMetrics) *Gauge { return &m.Pending }),
+		gaugeDesc("openings_waiting", "openings", "agent: openings that wait until the target has room",
+			func(m *SegmentMetrics) *Gauge { return &m.Waiting }),
 		gaugeDesc("arriving", "requests", "agent: requests of several segments of which a part has arrived",
 			func(m *SegmentMetrics) *Gauge { return &m.Arriving }),
 		gaugeDesc("warmup_credit", "openings", "agent: openings that the cold target may take now; -1 if it is warm or its service names no rate",
@@ -211,6 +213,8 @@
 			func(m *SegmentMetrics) *Histogram { return m.ExpectedWait }),
 		histogramDesc("wait_error", "agent: difference between answer_wait and expected_wait",
 			func(m *SegmentMetrics) *Histogram { return m.WaitError }),
+		histogramDesc("opening_wait", "agent: time for which an opening waited until the target had room",
+			func(m *SegmentMetrics) *Histogram { return m.OpeningWait }),
 		histogramDesc("request_arrival", "agent: time from the first data of a request of several segments to its last new byte, for requests of known size",
 			func(m *SegmentMetrics) *Histogram { return m.RequestArrival }),
 		histogramDesc("opening_to_answer", "agent: time from the opening of a flow to the first data of its first answer",
@@ -237,7 +241,7 @@
 func NewSegmentMetrics(name string, reasons ...string) *SegmentMetrics {
 	m := &SegmentMetrics{
 		AnswerWait: newHistogram(), OpeningToAnswer: newHistogram(), StoreCall: newHistogram(), Search: newHistogram(),
-		ExpectedWait: newHistogram(), WaitError: newHistogram(), RequestArrival: newHistogram(),
+		ExpectedWait: newHistogram(), WaitError: newHistogram(), OpeningWait: newHistogram(), RequestArrival: newHistogram(),
 		reasonNames: reasons, vars: new(expvar.Map),
 	}
 	for _, desc := range SegmentMetricDescs() {
