--- a/internal/steering/warmup_test.go
+++ b/internal/steering/warmup_test.go
@@ -171,3 +171,17 @@
 	f.c.Check(cold.WarmupLeft(f.now), qt.Equals, warmupTime, qt.Commentf("cold again by a later entry"))
 	f.c.Check(cold.WarmupSequence(), qt.Equals, uint64(2))
 }
+
+// Guards against a target that does not respond, or whose agent has not reported, and that
+// is preferred to cold targets without credit.
+func TestColdTargetIsPreferredToOneThatIsAvoided(t *testing.T) {
+	f := newWarmupFixture(t, 4, 2)
+	f.reportCredit(1)
+	for i := 2; i < 4; i++ {
+		f.targetOf(i).Report(f.now, Report{Unresponsive: true})
+	}
+	for i := range 20 {
+		target, _ := f.open(i)
+		f.c.Check(target.Cold(f.now), qt.IsTrue)
+	}
+}
