--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -167,6 +167,8 @@
 	c.Check(h.Cold(at(1.9)), qt.IsTrue)
 	describe(1, 1, 3, 2*time.Second)
 	c.Check(h.Cold(at(2)), qt.IsFalse, qt.Commentf("the later arrival of an entry is the delayed one"))
+	describe(2, 1, 4, maxDelay)
+	c.Check(h.Cold(at(2)), qt.IsFalse, qt.Commentf("a later entry of the same warm-up, with more delay"))
 	describe(5, 1, 2, 2*time.Second)
 	c.Check(h.Cold(at(5)), qt.IsFalse, qt.Commentf("an earlier entry"))
 	describe(5, 1, 9, 2*time.Second)
