--- a/internal/registry/warmup.go
+++ b/internal/registry/warmup.go
@@ -66,9 +66,9 @@
 			continue
 		default:
 			end = warmup.EndOf(now, sequence, t.WarmupLeft)
-			same := func(known Target) bool { return known.Incarnation() == t.Incarnation() && known.Sequence >= sequence }
-			if i := slices.IndexFunc(r.table.Targets, same); i >= 0 && sequence != 0 {
-				end = warmup.EndOf(now, r.table.Targets[i].Sequence, 0)
+			later := func(other Target) bool { return other.Incarnation() == t.Incarnation() && other.Sequence >= sequence }
+			if at := slices.IndexFunc(r.table.Targets, later); at >= 0 && sequence != 0 {
+				end = warmup.EndOf(now, r.table.Targets[at].Sequence, 0)
 			}
 		}
 		r.warmUntil[t.Incarnation()] = end
--- a/internal/steering/warmup.go
+++ b/internal/steering/warmup.go
@@ -13,7 +13,7 @@
 // it and the engine reads it.
 type warmupState struct {
 	// until is the time from which the target is warm, by the entry of the number sequence;
-	// known is set once there is one. Only the control task uses known.
+	// known is set once there is one. Only NewView uses known.
 	until    atomic.Int64
 	sequence atomic.Uint64
 	known    bool
--- a/internal/steering/warmup_fleet_test.go
+++ b/internal/steering/warmup_fleet_test.go
@@ -154,8 +154,9 @@
 		c := qt.New(t)
 		const duration = 10 * time.Second
 		m := newWarmupModel(24, test.targets, test.cold)
-		m.play(40*30, duration, 1)
-		t.Logf("%d of %d cold: %d served, %d openings given back, %d lost", test.cold, test.targets, m.served, m.returned, m.lost)
+		const seed = 1
+		m.play(40*30, duration, seed)
+		t.Logf("seed %d, %d of %d cold: %d served, %d openings given back, %d lost", seed, test.cold, test.targets, m.served, m.returned, m.lost)
 		for host, times := range m.requests {
 			for i := range times {
 				c.Check(i < modelRate || times[i]-times[i-modelRate] > time.Second, qt.IsTrue, qt.Commentf("%s at %v", host, times[i]))
