soak: evacuated zones and cold targets

Cause: the soak knew neither the operator's request to evacuate a zone nor the limit of cold targets. Change: the stand-ins write and remove the request, publish warmup_s and warmup_per_s of services, and targets that start during the run publish how long they stay cold. Faults: a zone is evacuated, taken back, both in quick succession; all targets of a service return cold together while callers open 100 flows in a second; each run begins with it. A restored store gets the operator's state again. Checks: evacuated, taken back, cold.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/peridotstall/peridotstall/platform/standin"
 )
 
 // Limits of the guarantees that the soak test checks, as the users state them.
@@ -19,6 +21,14 @@
 	// recoveryTimeout is the longest time until every service responds after the
 	// last fault.
 	recoveryTimeout = 12 * time.Second
+	// evacuateTimeout is the longest time in which targets of an evacuated zone may still
+	// get new flows.
+	evacuateTimeout = 5 * time.Second
+	// takenBackTimeout is the longest time until a zone that was taken back gets new flows.
+	takenBackTimeout = 5 * time.Second
+	// warmupOvershoot and warmupSlack are the factor of its rate and the number of openings
+	// above it that a cold target may get in any second.
+	warmupOvershoot, warmupSlack = 1.5, 5.0
 	// memoryLimit is the memory of a process on an agent's host, in bytes.
 	memoryLimit = 152 << 20
 	// descriptorLimit is the number of a host's file descriptors that are left for
@@ -84,6 +94,38 @@
 	}
 }
 
+// checkEvacuated checks that a target of an evacuated zone accepted no new flow after a time,
+// up to another one.
+func (c *checker) checkEvacuated(id, zone string, openings []standin.Opening, after, until time.Time) {
+	count := 0
+	for _, o := range openings {
+		if o.Arrived.After(after) && !o.Arrived.After(until) {
+			count++
+		}
+	}
+	c.check("evacuated", count == 0, "%s accepted %d new flows although zone %s is evacuated", id, count, zone)
+}
+
+// span is the time from the sending of an opening to its arrival.
+type span struct{ sent, arrived time.Time }
+
+// checkWarmup checks that a target that is cold until a time took no more openings in any
+// second than its rate permits. Openings count that were sent and arrived in that second.
+func (c *checker) checkWarmup(id string, openings []span, until time.Time, rate float64) {
+	most := 0
+	for _, first := range openings {
+		count := 0
+		for _, o := range openings {
+			if !o.sent.Before(first.sent) && o.arrived.Sub(first.sent) <= time.Second && o.arrived.Before(until) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	limit := rate*warmupOvershoot + warmupSlack
+	c.check("cold", float64(most) <= limit, "%s accepted %d flows in a second while it was cold, at most %g", id, most, limit)
+}
+
 // sumRuns adds up the runs of each request at several targets.
 func sumRuns(parts []map[string]int) map[string]int {
 	sum := make(map[string]int)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -40,6 +40,77 @@
 	c.Check(violatedChecks(check), qt.DeepEquals, []string{"asked", "once", "refusal", "service"})
 }
 
+// Guards against a check that misses a new flow in an evacuated zone after its limit, or reports
+// those before it and after the zone was taken back.
+func TestFlowsInEvacuatedZonesAreReported(t *testing.T) {
+	c := qt.New(t)
+	after := time.Now()
+	until := after.Add(time.Second)
+	at := func(offsets ...time.Duration) (openings []standin.Opening) {
+		for _, offset := range offsets {
+			openings = append(openings, standin.Opening{Arrived: after.Add(offset)})
+		}
+		return openings
+	}
+	check := newChecker()
+	check.checkEvacuated("good", "a", at(-time.Minute, 0, time.Second+1), after, until)
+	c.Check(violatedChecks(check), qt.HasLen, 0)
+	check.checkEvacuated("bad", "a", at(-time.Minute, 1), after, until)
+	check.checkEvacuated("last", "a", at(time.Second), after, until)
+	c.Check(violatedChecks(check), qt.DeepEquals, []string{"evacuated", "evacuated"})
+}
+
+// Guards against a check that counts cold targets in fixed seconds, counts openings that were
+// on their way for longer, or judges targets that are warm.
+func TestOpeningsOfColdTargetsAreReported(t *testing.T) {
+	c := qt.New(t)
+	start := time.Now()
+	warm := start.Add(4 * time.Second)
+	const limit = 8
+	evenly := func(count int, from time.Duration, way time.Duration) (openings []span) {
+		for i := range count {
+			sent := start.Add(from + time.Duration(i)*900*time.Millisecond/time.Duration(count))
+			openings = append(openings, span{sent, sent.Add(way)})
+		}
+		return openings
+	}
+	check := newChecker()
+	check.checkWarmup("at the limit", evenly(limit, 700*time.Millisecond, time.Millisecond), warm, 2)
+	check.checkWarmup("later ones", append(evenly(limit, 0, 0), evenly(limit, time.Second+1, 0)...)[:limit+1], warm, 2)
+	check.checkWarmup("on their way", evenly(2*limit, 0, 600*time.Millisecond), warm, 2)
+	check.checkWarmup("warm", evenly(2*limit, 4*time.Second, 0), warm, 2)
+	check.checkWarmup("no openings", nil, warm, 2)
+	c.Check(violatedChecks(check), qt.HasLen, 0)
+	check.checkWarmup("across a second", evenly(limit+1, 700*time.Millisecond, time.Millisecond), warm, 2)
+	c.Check(violatedChecks(check), qt.DeepEquals, []string{"cold"})
+}
+
+// Guards against an evacuation that leaves a service without targets, so that callers fail
+// for the operator's request.
+func TestEvacuationLeavesTargets(t *testing.T) {
+	c := qt.New(t)
+	newRun := func(zones ...string) *run {
+		r := &run{checker: newChecker()}
+		for i, zone := range zones {
+			r.targets = append(r.targets, &target{
+				service: services[i%len(services)], current: &standin.Target{Zone: zone}, agent: &process{host: standin.Host{Zone: zone}},
+			})
+		}
+		return r
+	}
+	r := newRun("a", "a", "b", "a")
+	c.Check(r.canEvacuate("a"), qt.IsFalse)
+	c.Check(r.canEvacuate("b"), qt.IsTrue)
+	zone, ok := r.zoneToEvacuate(nil)
+	c.Check(ok, qt.IsTrue)
+	c.Check(zone, qt.Equals, "b")
+	_, ok = r.zoneToEvacuate([]*standin.Target{r.targets[0].current})
+	c.Check(ok, qt.IsFalse)
+	r.operator.zone = "b"
+	c.Check(r.targetToDrain(services[0]), qt.IsNil)
+	c.Check(r.targetToDrain(services[1]), qt.Equals, r.targets[1].current)
+}
+
 // Guards against a resource check that reads no figures and so never fails.
 func TestMemoryAndDescriptorsAreChecked(t *testing.T) {
 	c := qt.New(t)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,6 +15,7 @@
 // injectFaults injects faults until ctx is done. Faults overlap: the next one may
 // begin before the previous one ends.
 func (r *run) injectFaults(ctx context.Context) {
+	r.returnCold(ctx, services[r.Seed%uint64(len(services))], time.Second)
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		kind, gap := r.rng.IntN(faultKindCount), time.Duration(200+r.rng.IntN(2500))*time.Millisecond
@@ -30,7 +31,7 @@
 }
 
 // faultKindCount is the number of cases of inject.
-const faultKindCount = 14
+const faultKindCount = 17
 
 // inject starts a fault of the given kind. The selector chooses the process or
 // target, the variant its form; temporary faults end after the duration.
@@ -81,6 +82,19 @@
 		r.crashTarget(t, duration)
 	case 10:
 		r.replaceTarget(ctx, t)
+	case 14:
+		if zone := r.targets[selector%len(r.targets)].agent.host.Zone; r.canEvacuate(zone) {
+			r.evacuate(zone)
+			if variant%2 == 0 {
+				r.schedule(duration, r.takeBack)
+			}
+		}
+	case 15:
+		if zone := r.targets[selector%len(r.targets)].agent.host.Zone; r.canEvacuate(zone) {
+			r.evacuateRepeatedly(zone, 2+variant%4)
+		}
+	case 16:
+		r.returnCold(ctx, t.service, duration)
 	case 11:
 		r.logf("kill half of all processes")
 		for i, p := range all {
@@ -140,9 +154,10 @@
 	r.markStoreDisturbed()
 	r.fleet.store.Restore(c)
 	r.mu.Lock()
-	standin.PutRoutes(r.fleet.store, r.version, r.addr)
+	standin.PutRoutesWithWarmup(r.fleet.store, r.version, r.addr, warmup)
 	started := slices.Clone(r.startedTargets)
 	r.mu.Unlock()
+	r.writeEvacuations()
 	for _, t := range r.targets {
 		if current := t.currentTarget(); current != nil {
 			current.Publish()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -122,11 +122,11 @@
 	p.lastDisturbed = time.Now()
 }
 
-// calmSince reports whether no fault affected the process since t.
-func (p *process) calmSince(t time.Time) bool {
+// disturbedAt returns the time of the last fault that affected the process.
+func (p *process) disturbedAt() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lastDisturbed.Before(t)
+	return p.lastDisturbed
 }
 
 // stop kills the process without a restart and closes its proxy.
@@ -188,6 +188,7 @@
 		host: standin.Host{
 			Name: fmt.Sprintf("%s-%d", role, i), IP: f.address(kind, i), Zone: fmt.Sprintf("zone-%d", i%3), Ports: f.ports,
 			Seeds: seeds, Store: proxyAddress, Service: service, GraceSeconds: graceSeconds,
+			WarmupOvershoot: warmupOvershoot, WarmupSlack: warmupSlack,
 		},
 	}, nil
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,7 +46,7 @@
 	requestCalmWindow = requestTimeout + calmWindow
 	// settleDuration is the time for which callers continue after the faults: until
 	// the fleet counts as calm, plus a few requests of each caller.
-	settleDuration = requestCalmWindow + 3*time.Second
+	settleDuration = requestCalmWindow + 6*time.Second
 	// targetSlots is the number of requests that a target runs at a time.
 	targetSlots = 4
 	// faultDurationRange limits the random part of the duration of a fault, to which
@@ -74,6 +74,8 @@
 	startedTargets   []*standin.Target
 	storeDisturbedAt time.Time
 	answered         int
+
+	operator operator
 }
 
 // target is a backend server that is replaced by its next incarnation after a
@@ -136,30 +138,43 @@
 		sleep(ctx, calmWindow+time.Second)
 		var drained []*standin.Target
 		for _, service := range services {
-			if t := r.runningTarget(service); t != nil {
+			if t := r.targetToDrain(service); t != nil {
 				r.logf("target %s drains in a calm fleet", t.ID)
 				t.Drain()
 				drained = append(drained, t)
 			}
 		}
 		at := time.Now()
+		if r.evacuatedZone() == "" {
+			if zone, ok := r.zoneToEvacuate(drained); ok {
+				r.evacuate(zone)
+			}
+		}
 		sleep(ctx, drainTimeout+2*time.Second)
 		for _, t := range drained {
 			late := t.LastAccepted().Sub(at)
 			r.checker.check("drain", late <= drainTimeout, "%s accepted a new flow %s after its drain", t.ID, late)
 		}
+		sleep(ctx, time.Until(at.Add(evacuateTimeout+judgedTime)))
+		r.checkTakenBack(ctx, drained)
 		<-ctx.Done()
 	})
 }
 
-// runningTarget returns a running target of a service, or nil.
-func (r *run) runningTarget(service string) *standin.Target {
+// targetToDrain returns a running target of a service, or nil. While a zone is evacuated, it
+// leaves another target outside of the zone.
+func (r *run) targetToDrain(service string) *standin.Target {
+	zone := r.evacuatedZone()
+	var outside []*standin.Target
 	for _, t := range r.targets {
-		if current := t.currentTarget(); current != nil && t.service == service {
-			return current
+		if current := t.currentTarget(); current != nil && t.service == service && current.Zone != zone {
+			outside = append(outside, current)
 		}
 	}
-	return nil
+	if len(outside) == 0 || zone != "" && len(outside) == 1 {
+		return nil
+	}
+	return outside[0]
 }
 
 // sleep waits for d or until ctx is done.
@@ -220,7 +235,8 @@
 	return nil
 }
 
-// startTarget starts the next incarnation of a target that is down.
+// startTarget starts the next incarnation of a target that is down. It is cold unless it is
+// the first one.
 func (r *run) startTarget(t *target) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -229,8 +245,12 @@
 	}
 	t.incarnation++
 	ip := t.agent.host.IP
-	next, err := standin.StartTarget(r.fleet.store, fmt.Sprintf("t%d-%d", t.index, t.incarnation), t.service, t.agent.host.Zone,
-		netip.AddrPortFrom(ip, r.fleet.ports.App), netip.AddrPortFrom(ip, r.fleet.ports.Outbound), targetSlots)
+	cold := time.Duration(0)
+	if t.incarnation > 1 {
+		cold = warmup.Duration
+	}
+	next, err := standin.StartColdTarget(r.fleet.store, fmt.Sprintf("t%d-%d", t.index, t.incarnation), t.service, t.agent.host.Zone,
+		netip.AddrPortFrom(ip, r.fleet.ports.App), netip.AddrPortFrom(ip, r.fleet.ports.Outbound), targetSlots, cold)
 	if err != nil {
 		return err
 	}
@@ -246,7 +266,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version += 1 + uint64(r.rng.IntN(3))
-	standin.PutRoutes(r.fleet.store, r.version, r.addr)
+	standin.PutRoutesWithWarmup(r.fleet.store, r.version, r.addr, warmup)
 }
 
 // runCaller opens flows and sends requests on them until ctx is done.
@@ -328,21 +348,31 @@
 }
 
 // calmSince reports whether no fault affected the fleet since a time.
-func (r *run) calmSince(since time.Time) bool {
+func (r *run) calmSince(since time.Time) bool { return r.lastFault().Before(since) }
+
+// lastFault returns the time of the last fault that affected the fleet.
+func (r *run) lastFault() time.Time {
 	r.mu.Lock()
-	calm := r.storeDisturbedAt.Before(since)
+	last := r.storeDisturbedAt
 	r.mu.Unlock()
 	for _, list := range [][]*process{r.fleet.balancers, r.fleet.agents} {
 		for _, p := range list {
-			calm = calm && p.calmSince(since)
+			last = latest(last, p.disturbedAt())
 		}
 	}
 	for _, t := range r.targets {
 		t.mu.Lock()
-		calm = calm && t.crashed.Before(since)
+		last = latest(last, t.crashed)
 		t.mu.Unlock()
 	}
-	return calm
+	return last
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // watch updates the router and checks the resources of the processes until ctx is
@@ -350,6 +380,7 @@
 func (r *run) watch(ctx context.Context) {
 	for tick := 0; ctx.Err() == nil; tick++ {
 		r.fleet.updateRouter(r.client)
+		r.judgeEvacuation()
 		if tick%4 == 0 {
 			for _, p := range append(r.fleet.balancers, r.fleet.agents...) {
 				r.checker.checkResources(p.host.Name, p.pid())
@@ -407,6 +438,9 @@
 		}
 		r.checker.checkRuns(r.attempts, service, sumRuns(parts))
 	}
+	for _, t := range r.startedTargets {
+		r.checkCold(t)
+	}
 	starts := 0
 	for _, p := range append(r.fleet.balancers, r.fleet.agents...) {
 		starts += p.starts
