--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -10,6 +10,7 @@
 
 	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
 const (
@@ -22,8 +23,8 @@
 	// probeInterval is the time between openings that an unresponsive target gets
 	// nevertheless, to detect its recovery.
 	probeInterval = 300 * time.Millisecond
-	// openingTTL is the time for which an accepted opening counts as pending before its
-	// first request: a round trip to the caller and a margin.
+	// openingTTL is the longest time for which an accepted opening counts as pending before
+	// its first request. It is in force while no round trip time is known.
 	openingTTL = 300 * time.Millisecond
 	// pendingTimeoutFactor is the number of answer timeouts after which a request without
 	// an answer no longer counts as pending: its caller has given up, and the target may
@@ -54,9 +55,13 @@
 	Busy
 	// Leaving: the agent is shutting down.
 	Leaving
+	// Evacuated: the zone of the target is evacuated.
+	Evacuated
+	// WarmingUp: the target is cold and has taken as many requests as it may.
+	WarmingUp
 )
 
-var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving"}
+var refusalNames = [...]string{"accepted", "wrong_service", "unresponsive", "busy", "leaving", "evacuated", "warming_up"}
 
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -66,11 +71,25 @@
 
 // flowState is what the agent has observed of a flow.
 type flowState struct {
-	// requestedAt is the time of the first data of a request without an answer, or of
-	// its last data while the target is not known to hold the flow; 0 if there is none.
+	// requestedAt is the time at which a request without an answer had arrived; 0 if
+	// there is none. A request of unknown size counts from its first data, or from its
+	// last while the target is not known to hold the flow.
 	requestedAt time.Duration
+	// arriving is set while a part of a request has arrived; it is in Tracker.arrivals.
+	arriving bool
+	// arrivedIn is the time in which the last request arrived; 0 if it had one segment or
+	// its size is unknown.
+	arrivedIn time.Duration
+	// requestEnd is the sequence number after the last request, valid if hasRequestEnd.
+	requestEnd    uint32
+	hasRequestEnd bool
+	// early is set if the last answer began before its request had arrived.
+	early bool
 	// openedAt is the time of the first copy of the opening; 0 after the first answer.
 	openedAt time.Duration
+	// countedAt is the time at which the limiter of the warm-up counted the opening; 0 after
+	// the first request.
+	countedAt time.Duration
 	// acceptedAt is the time at which the target accepted the opening.
 	acceptedAt time.Duration
 	// startedAt is the time at which the target is expected to have started the request;
@@ -137,8 +156,14 @@
 
 	// openings holds accepted openings, begun requests that were sent to the target.
 	openings, begun flowQueue
+	// arrivals holds the requests of which a part has arrived, arrivalQueue the times at
+	// which they were last seen to arrive.
+	arrivals     map[segment.Flow]*arrival
+	arrivalQueue flowQueue
 
 	pending int
+	// open counts the flows that the target holds and that have not ended.
+	open    int
 	mean    float64
 	updated time.Duration
 
@@ -147,10 +172,12 @@
 	unansweredSince time.Duration
 	lastProbe       time.Duration
 	leaving         bool
+	evacuated       bool
 
 	failures failures
 	work     work
 	level    level
+	warmup   *warmup.Limiter
 }
 
 // New returns a tracker for a target of the given service.
@@ -163,8 +190,10 @@
 		tag:    segment.TagOf(service),
 		flows:  generations.New[segment.Flow, flowState](maxFlows),
 
+		arrivals: make(map[segment.Flow]*arrival),
 		failures: failures{answerTimeout: defaultAnswerTimeout},
 		level:    newLevel(),
+		warmup:   warmup.New(0, warmup.Tolerance{}),
 	}
 }
 
@@ -190,8 +219,16 @@
 // is shutting down.
 func (t *Tracker) RefuseOpenings() { t.leaving = true }
 
-// Pending returns the number of requests that run or wait at the target.
-func (t *Tracker) Pending() int { return t.pending }
+// Pending returns the number of requests that run or wait at the target, and of those
+// that are arriving as many as its slots cannot serve meanwhile.
+func (t *Tracker) Pending() int { return t.load() }
+
+// SetEvacuated makes the tracker refuse openings while the zone of the target is evacuated.
+func (t *Tracker) SetEvacuated(evacuated bool) { t.evacuated = evacuated }
+
+// Open returns the number of flows that the target holds and that have not ended. A flow whose
+// end was not seen counts until it has been idle for flowTTL.
+func (t *Tracker) Open() int { return t.open }
 
 // Mean returns the mean number of pending requests over the last second.
 func (t *Tracker) Mean(now time.Duration) float64 {
@@ -221,6 +258,9 @@
 // pending reports whether the flow counts as a pending request.
 func (s flowState) pending() bool { return s.requestedAt != 0 || s.opening }
 
+// open reports whether the target holds the flow and it has not ended.
+func (s flowState) open() bool { return s.held && !s.ended }
+
 // retransmits reports whether a segment has no data beyond what the target already got.
 func (s flowState) retransmits(head segment.Head) bool {
 	return s.hasData && int32(head.DataEnd()-s.dataEnd) <= 0
@@ -244,8 +284,18 @@
 	if ends {
 		after.startedAt = 0
 	}
-	if !t.flows.Put(flow, after) {
+	stored := t.flows.Put(flow, after)
+	if !stored {
 		t.overflowedAt = now
+	} else if before.open() != after.open() {
+		if after.open() {
+			t.open++
+		} else {
+			t.open--
+		}
+	}
+	if before.arriving && !after.arriving || !stored {
+		delete(t.arrivals, flow)
 	}
 	if ends && before.startedAt != 0 {
 		t.startNext(now)
@@ -281,14 +331,19 @@
 		// A refusal says that the target does not hold the flow.
 		return Accepted
 	}
+	t.expireOpenings(now)
 	t.observeDemand(now, mark)
 	switch {
 	case t.leaving:
 		return Leaving
+	case t.evacuated:
+		return Evacuated
 	case t.Unresponsive(now) && now-t.lastProbe < probeInterval:
 		return Unresponsive
 	case t.busy(now, mark, head.Source):
 		return Busy
+	case !t.admitWarmup(now, head, mark):
+		return WarmingUp
 	}
 	if t.Unresponsive(now) {
 		t.lastProbe = now
@@ -326,13 +381,7 @@
 // Tick expires openings without a request and idle flows, and counts requests without
 // an answer as failed after the answer timeout.
 func (t *Tracker) Tick(now time.Duration) {
-	for _, flow := range t.openings.removeOlder(now, openingTTL) {
-		if s, known := t.flows.Get(flow); known && s.opening {
-			after := s
-			after.opening = false
-			t.update(now, flow, s, after)
-		}
-	}
+	t.expireOpenings(now)
 	for _, flow := range t.failures.awaited.removeOlder(now, t.failures.answerTimeout) {
 		// The network may have lost a segment of a multi-segment request, so that
 		// a missing answer is no evidence against the target.
@@ -354,11 +403,18 @@
 			t.update(now, flow, s, after)
 		}
 	}
-	t.flows.Rotate(now, flowTTL, func(_ segment.Flow, s flowState) {
+	t.expireArrivals(now, limit)
+	t.flows.Rotate(now, flowTTL, func(flow segment.Flow, s flowState) {
+		if s.arriving {
+			delete(t.arrivals, flow)
+		}
 		if s.pending() {
 			t.advance(now)
 			t.pending--
 		}
+		if s.open() {
+			t.open--
+		}
 		if s.startedAt != 0 {
 			t.startNext(now)
 		}
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -13,10 +13,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/peridotstall/peridotstall/internal/occupancy"
+	"github.com/peridotstall/peridotstall/internal/registry"
 	"github.com/peridotstall/peridotstall/internal/reports"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
 const (
@@ -52,6 +54,9 @@
 	Backend netip.AddrPort
 	// Outbound is the address to which the target sends its segments.
 	Outbound netip.AddrPort
+	// WarmupTolerance is how far more requests than the configured rate of a cold target are
+	// accepted.
+	WarmupTolerance warmup.Tolerance
 }
 
 // balancerEntry holds what the agent stores of a balancer that sent it a
@@ -75,18 +80,24 @@
 	out      transmitter
 	backend  atomic.Pointer[netip.AddrPort]
 
-	mu        sync.Mutex
-	tracker   *occupancy.Tracker
-	coverage  occupancy.Coverage
-	balancers []balancerEntry
-	byHost    map[netip.Addr]uint8
-	reports   *reports.Schedule
+	mu       sync.Mutex
+	tracker  *occupancy.Tracker
+	coverage occupancy.Coverage
+	// evacuation is that of the zone, evacuatedAt the time of its last change; emptied is
+	// set once the log says that the target has no open flows since then.
+	evacuation  occupancy.Evacuation
+	evacuatedAt time.Duration
+	emptied     bool
+	balancers   []balancerEntry
+	byHost      map[netip.Addr]uint8
+	reports     *reports.Schedule
 	// leaving is set while the agent stops, urgent if the next report goes to all balancers
 	// at once.
 	leaving, urgent bool
 	// loggedUnresponsive and loggedFailing are the states of the target that
 	// were logged last.
 	loggedUnresponsive, loggedFailing bool
+	warmup                            warmupLog
 
 	tasks
 }
@@ -100,6 +111,7 @@
 		metrics: telemetry.NewSegmentMetrics("agent/"+options.Host, occupancy.RefusalNames()...),
 	}
 	a.coverage = occupancy.NewCoverage(a.clock.now(), time.Now().UnixMilli())
+	a.tracker.SetWarmup(warmup.New(a.clock.now(), options.WarmupTolerance))
 	a.out = transmitter{options.Logger, a.metrics}
 	a.backend.Store(&options.Backend)
 	for _, s := range []struct {
@@ -132,10 +144,16 @@
 	}
 	var request []byte
 	if head.DataLength > 0 {
-		request = a.options.Codec.Request(a.options.Codec.Data(b))
+		data := a.options.Codec.Data(b)
+		if request = a.options.Codec.Request(data); request != nil {
+			head.RequestSize = a.options.Codec.RequestSize(data)
+		}
 	}
 	now := a.clock.now()
 	mark := segment.Unpack(head.Mark)
+	if head.Opening {
+		mark = segment.UnpackOpening(head.Mark)
+	}
 	a.mu.Lock()
 	sender := a.balancerIndex(now, from)
 	mark.Sender = sender
@@ -157,6 +175,9 @@
 	if delivery.ReportOwner {
 		a.sendOwner(head.FromCaller(), sender)
 	}
+	if delivery.Arrived > 0 {
+		a.metrics.RequestArrival.Record(delivery.Arrived)
+	}
 	switch {
 	case request != nil:
 		a.metrics.SegmentsIn.Inc()
@@ -166,7 +187,7 @@
 		}
 	case delivery.Abandoned && a.options.Logger.Allow(telemetry.RequestAbandoned):
 		a.options.Logger.Log(telemetry.RequestAbandoned, "request", delivery.Request.String(), "flow", head.FromCaller().String(),
-			"waited", delivery.Waited.Round(time.Millisecond), "pending", load.pending)
+			"waited", delivery.Waited.Round(time.Millisecond), "arriving", delivery.Arriving, "pending", load.pending)
 	}
 }
 
@@ -288,7 +309,7 @@
 	}
 	if (failed || answer.Waited > slowAnswerThreshold) && a.options.Logger.Allow(telemetry.AnswerUnusual) {
 		a.options.Logger.Log(telemetry.AnswerUnusual, "request", answer.Request.String(), "flow", head.FromTarget().String(),
-			"status", status, "waited", answer.Waited.Round(time.Millisecond), "pending", pending)
+			"status", status, "waited", answer.Waited.Round(time.Millisecond), "arrived", answer.Arrived.Round(time.Millisecond), "pending", pending)
 	}
 }
 
@@ -368,11 +389,13 @@
 	now := a.clock.now()
 	a.mu.Lock()
 	if segment.Tag(ping.ServiceTag) == a.tracker.Tag() {
+		a.handleEvacuation(now, ping.Evacuation, from)
 		a.tracker.SetSlots(int(ping.Slots))
 		if target := ping.Target; target != nil {
 			if d, ok := describe(target); ok {
 				a.tracker.SetAnswerTimeout(time.Duration(target.PatienceMs) * time.Millisecond)
 				a.coverage.Update(now, time.Now().UnixMilli(), d)
+				a.tracker.Warmup().Describe(now, describeWarmup(target))
 			} else {
 				a.metrics.Malformed.Inc()
 			}
@@ -396,12 +419,29 @@
 	}
 }
 
+// handleEvacuation records what a balancer says of the evacuation of the zone; nil if it does not
+// know. The caller must hold a.mu.
+func (a *Agent) handleEvacuation(now time.Duration, m *schema.LinkEvacuation, from netip.AddrPort) {
+	if m == nil {
+		return
+	}
+	position := registry.Position{Epoch: m.Epoch, Revision: m.Revision}
+	if !a.evacuation.Update(position, m.Evacuated) {
+		return
+	}
+	a.tracker.SetEvacuated(m.Evacuated)
+	a.evacuatedAt, a.emptied, a.urgent = now, false, true
+	a.metrics.EvacuatedZones.Set(a.options.Zone, position, m.Evacuated)
+	a.options.Logger.Log(telemetry.TargetEvacuated, "evacuated", m.Evacuated, "epoch", m.Epoch, "revision", m.Revision,
+		"flows", a.tracker.Open(), "balancer", from)
+}
+
 // maxMilliseconds is the longest time that a time.Duration holds, in milliseconds.
 const maxMilliseconds = math.MaxInt64 / uint64(time.Millisecond)
 
 // describe decodes the description of a target; false if a time is out of range.
 func describe(m *schema.LinkTarget) (occupancy.Description, bool) {
-	if max(m.KnownMs, m.IdleMs, m.PatienceMs) > maxMilliseconds {
+	if max(m.KnownMs, m.IdleMs, m.PatienceMs) > maxMilliseconds || !validWarmup(m) {
 		return occupancy.Description{}, false
 	}
 	return occupancy.Description{
@@ -444,7 +484,9 @@
 	defer a.mu.Unlock()
 	if a.options.Service != service {
 		a.tracker = occupancy.New(service)
+		a.tracker.SetWarmup(warmup.New(a.clock.now(), a.options.WarmupTolerance))
 		a.coverage = occupancy.NewCoverage(a.clock.now(), time.Now().UnixMilli())
+		a.tracker.SetEvacuated(a.evacuation.Evacuated())
 	}
 	a.options.Service = service
 	a.backend.Store(&backend)
@@ -473,7 +515,7 @@
 func (a *Agent) pending() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.tracker.Pending()
+	return a.tracker.Unfinished()
 }
 
 func (a *Agent) close() {
--- a/internal/segnode/report.go
+++ b/internal/segnode/report.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/peridotstall/peridotstall/internal/occupancy"
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
@@ -26,11 +27,23 @@
 		FailingMilli:     uint32(a.tracker.Failing(now) * 1000),
 		ServiceMicros:    uint32(a.tracker.ServiceTime().Microseconds()),
 		ExcludedShares:   excludedShares(a.tracker.ExcludedRanks()),
+		Evacuated:        a.evacuation.Evacuated(),
 	}
+	open := a.tracker.Open()
+	if load.Evacuated {
+		load.OpenFlows = uint32(max(open, 0))
+	}
+	empty := load.Evacuated && !a.emptied && load.Complete && open == 0 && load.Pending == 0
+	a.emptied = a.emptied || empty
+	evacuatedFor := now - a.evacuatedAt
+	credit, cold := a.tracker.Warmup().Credit(now)
+	warmupEvent := a.warmup.update(now, a.tracker.Warmup())
 	changed := load.Unresponsive != a.loggedUnresponsive
 	// Reports that follow a ping name the target, for the balancers in naming.
 	var to, naming []netip.AddrPort
-	for _, index := range a.reports.Due(now, load.Pending, a.urgent || changed) {
+	due := a.reports.Due(now, load.Pending, a.urgent || changed)
+	each, more := a.tracker.Warmup().Share(now, len(due))
+	for _, index := range due {
 		balancer := &a.balancers[index]
 		if balancer.pinged {
 			naming = append(naming, balancer.link)
@@ -39,6 +52,7 @@
 		}
 		balancer.pinged = false
 	}
+	arriving := a.tracker.Arriving()
 	identity := a.identity()
 	identity.ServiceTag = 0
 	a.urgent = false
@@ -48,12 +62,37 @@
 	a.loggedFailing = startedFailing || a.loggedFailing && !stoppedFailing
 	a.mu.Unlock()
 	a.metrics.Pending.Set(int64(load.Pending))
+	a.metrics.Arriving.Set(int64(arriving))
+	a.metrics.Flows.Set(int64(open))
+	if load.Evacuated {
+		a.metrics.EvacuatedZones.Count(a.options.Zone, 1, 1, open)
+	}
+	if empty {
+		a.options.Logger.Log(telemetry.TargetEmpty, "waited", evacuatedFor.Round(time.Millisecond),
+			"refused", a.metrics.Reason(int(occupancy.Evacuated)).Value())
+	}
+	a.recordWarmup(cold, credit, warmupEvent)
 	if changed {
 		a.options.Logger.Log(telemetry.TargetResponds, "responds", !load.Unresponsive, "pending", load.Pending)
 	}
 	if startedFailing || stoppedFailing {
 		a.options.Logger.Log(telemetry.TargetFailing, "failing", startedFailing, "share", math.Round(share*100)/100, "pending", load.Pending)
 	}
+	if !cold {
+		a.sendReports(load, identity, to, naming)
+		return
+	}
+	// The first ones get one more.
+	load.WarmupCredit = uint32(each) + 2
+	first := min(more, len(to))
+	a.sendReports(load, identity, to[:first], naming[:more-first])
+	load.WarmupCredit = uint32(each) + 1
+	a.sendReports(load, identity, to[first:], naming[more-first:])
+}
+
+// sendReports sends a report, which names the target to some of the balancers.
+func (a *Agent) sendReports(load *schema.LinkLoad, identity *schema.LinkIdentity, to, naming []netip.AddrPort) {
+	load.Identity = nil
 	message := &schema.LinkMessage{Body: &schema.LinkMessage_Load{Load: load}}
 	a.out.messages(a.link, message, to)
 	load.Identity = identity
--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -22,7 +22,7 @@
 	r, known := e.records.Get(flow)
 	if known && head.Copy < r.openings && r.target != nil && r.target.acceptsFlows() {
 		// The network duplicated the segment, or the caller uses the port again.
-		return e.forwardOpening(Opened, flow, route, r.target, head.Age)
+		return e.forwardOpening(now, Opened, flow, route, r.target, head.Age)
 	}
 	if !known && head.Copy == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
@@ -35,7 +35,13 @@
 		return Verdict{Action: Wait, Reason: Unreported, Flow: flow}
 	}
 	t := e.choose(now, service, flow, func(t *Target) bool { return t == r.target })
-	if t == nil {
+	if t == nil && e.allEvacuated(service) {
+		if !e.confirmed {
+			return Verdict{Reason: Evacuated, Flow: flow}
+		}
+		return e.refuseOpening(flow, r, Evacuated)
+	}
+	if t == nil && r.target != nil && !r.target.evacuated.Load() {
 		t = r.target
 	}
 	if t == nil {
@@ -56,7 +62,7 @@
 		s.include(t)
 	}
 	t.openingsSent++
-	return e.forwardOpening(reason, flow, route, t, head.Age)
+	return e.forwardOpening(now, reason, flow, route, t, head.Age)
 }
 
 // supersede makes t the target of an opening. The earlier target may hold the flow
@@ -70,8 +76,9 @@
 }
 
 // forwardOpening returns the verdict that sends an opening of the given age to a target.
-func (e *Engine) forwardOpening(reason Reason, flow segment.Flow, route *registry.Route, t *Target, age time.Duration) Verdict {
+func (e *Engine) forwardOpening(now time.Duration, reason Reason, flow segment.Flow, route *registry.Route, t *Target, age time.Duration) Verdict {
 	v := forwardTo(reason, flow, t, 0)
+	v.cold = t.limited(now)
 	v.setUrgency(route, age)
 	return v
 }
@@ -91,11 +98,27 @@
 	return Verdict{Action: Reset, Reason: reason, Flow: flow}
 }
 
-// anyReported reports whether any target of a service has reported, or the service has
-// no targets.
+// anyReported reports whether any target of a service outside the evacuated zones has reported,
+// or there is none.
 func (e *Engine) anyReported(service string) bool {
+	none := true
+	for _, t := range e.view.services[service] {
+		if t.evacuated.Load() {
+			continue
+		}
+		if t.Reported() {
+			return true
+		}
+		none = false
+	}
+	return none
+}
+
+// allEvacuated reports whether a service has usable targets, and all of them are in evacuated
+// zones.
+func (e *Engine) allEvacuated(service string) bool {
 	targets := e.view.services[service]
-	return len(targets) == 0 || slices.ContainsFunc(targets, (*Target).Reported)
+	return slices.ContainsFunc(targets, (*Target).usable) && !slices.ContainsFunc(targets, (*Target).acceptsFlows)
 }
 
 // shouldDivert reports whether a new flow should go to another balancer. The hash of
@@ -119,6 +142,8 @@
 	mark := segment.Unpack(head.Mark)
 	if mark.Busy {
 		s.busyReturns++
+	} else if t := e.view.TargetOn(from); t != nil && t.limited(now) {
+		t.refusedWarmup()
 	}
 	r, _ := e.records.Get(flow)
 	if head.Copy+1 < r.openings && r.target.onHost(from) {
@@ -133,7 +158,10 @@
 	if t == nil {
 		return e.refuseOpening(flow, r, Refused)
 	}
-	v := e.forwardOpening(Retried, flow, route, t, head.Age)
+	if !t.hasCredit(now) {
+		return e.awaitWarmup(flow, r, head)
+	}
+	v := e.forwardOpening(now, Retried, flow, route, t, head.Age)
 	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(now, t, &v) {
 		return e.refuseOpening(flow, r, Overloaded)
 	}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -142,6 +142,8 @@
 		Fields:  []string{"target", "service", "address", "agent_port", "named"}, Limited: true}
 	StoreCallFailed = Event{Number: 235, Level: log.InfoLevel, Name: "store_call_failed",
 		Message: "another call to the unreachable store failed", Fields: []string{"waited", "error"}, Limited: true}
+	ZoneEvacuated = Event{Number: 236, Level: log.InfoLevel, Name: "zone_evacuated",
+		Message: "availability zone evacuated, or taken back", Fields: []string{"zone", "evacuated", "epoch", "revision", "source"}, Limited: true}
 	RoutesUnusable = Event{Number: 228, Level: log.ErrorLevel, Name: "routes_unusable",
 		Message: "published configuration cannot be read; the last one stays in force", Fields: []string{"key", "error"}}
 )
@@ -173,19 +175,30 @@
 	SegmentReturned = Event{Number: 611, Level: log.InfoLevel, Name: "segment_returned",
 		Message: "target does not hold the flow or cannot open it; returning the segment", Fields: []string{"flow", "opening", "balancer"}}
 	AnswerUnusual = Event{Number: 612, Level: log.WarnLevel, Name: "answer_unusual",
-		Message: "target answered late or with an error status", Fields: []string{"request", "flow", "status", "waited", "pending"}}
+		Message: "target answered late or with an error status", Fields: []string{"request", "flow", "status", "waited", "arrived", "pending"}}
 	TargetResponds = Event{Number: 613, Level: log.WarnLevel, Name: "target_responds",
 		Message: "target started or stopped responding", Fields: []string{"responds", "pending"}}
 	RequestHanded = Event{Number: 614, Level: log.InfoLevel, Name: "request_handed",
 		Message: "request dispatched to the target", Fields: []string{"request", "flow", "balancer", "pending"}}
 	RequestAbandoned = Event{Number: 615, Level: log.WarnLevel, Name: "request_abandoned",
-		Message: "caller closed the flow before the answer", Fields: []string{"request", "flow", "waited", "pending"}}
+		Message: "caller closed the flow before the answer", Fields: []string{"request", "flow", "waited", "arriving", "pending"}}
 	TargetFailing = Event{Number: 616, Level: log.WarnLevel, Name: "target_failing",
 		Message: "target started or stopped failing a share of its requests", Fields: []string{"failing", "share", "pending"}}
 	FlowsTold = Event{Number: 617, Level: log.InfoLevel, Name: "flows_told",
 		Message: "sending a restarted balancer its flows for the flow restore", Fields: []string{"balancer", "flows"}}
+	TargetEvacuated = Event{Number: 618, Level: log.InfoLevel, Name: "target_evacuated",
+		Message: "the target takes no new flows because its zone is evacuated, or takes them again",
+		Fields:  []string{"evacuated", "epoch", "revision", "flows", "balancer"}}
+	TargetEmpty = Event{Number: 619, Level: log.InfoLevel, Name: "target_empty",
+		Message: "no flow is open any more at the target of an evacuated zone", Fields: []string{"waited", "refused"}}
 	SendFailed = Event{Number: 620, Level: log.WarnLevel, Name: "send_failed",
 		Message: "datagram cannot be sent", Fields: []string{"to", "error"}}
+	WarmupBegun = Event{Number: 631, Level: log.InfoLevel, Name: "warmup_begun",
+		Message: "target is cold and takes a limited number of requests", Fields: []string{"rate", "left"}}
+	WarmupEnded = Event{Number: 632, Level: log.InfoLevel, Name: "warmup_ended",
+		Message: "target is warm; its limit is over", Fields: []string{"rate", "bound", "peak", "openings", "given_back", "further_requests", "lasted"}}
+	WarmupExceeded = Event{Number: 633, Level: log.WarnLevel, Name: "warmup_exceeded",
+		Message: "target is warm; it got more requests than the tolerance allows", Fields: []string{"rate", "bound", "peak", "openings", "given_back", "further_requests", "lasted"}}
 )
 
 // Events returns the catalogue, ordered by number.
@@ -195,10 +208,11 @@
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed, RoutesUnusable,
-		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned, StoreCallFailed,
+		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned, StoreCallFailed, ZoneEvacuated,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
-		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold, SendFailed,
+		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold,
+		WarmupBegun, WarmupEnded, WarmupExceeded,
 	}
 }
--- a/internal/telemetry/segment.go
+++ b/internal/telemetry/segment.go
@@ -2,6 +2,8 @@
 
 import (
 	"expvar"
+	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -46,6 +48,57 @@
 	}
 }
 
+// EvacuatedZones holds the figures of evacuated zones. It is safe for concurrent use.
+type EvacuatedZones struct {
+	mu    sync.Mutex
+	zones map[string]evacuatedZone
+}
+
+// evacuatedZone holds the figures of an evacuated zone.
+type evacuatedZone struct {
+	// Since is the position of the store as of which the process learned the evacuation.
+	Since string `json:"since"`
+	// Targets is the number of targets there; the agents of Confirmed of them take no
+	// openings, and Flows flows are open there.
+	Targets   int `json:"targets"`
+	Confirmed int `json:"confirmed"`
+	Flows     int `json:"flows"`
+}
+
+// Set adds a zone that is evacuated since a position, or removes it.
+func (z *EvacuatedZones) Set(zone string, since fmt.Stringer, evacuated bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if !evacuated {
+		delete(z.zones, zone)
+		return
+	}
+	if z.zones == nil {
+		z.zones = make(map[string]evacuatedZone)
+	}
+	z.zones[zone] = evacuatedZone{Since: since.String()}
+}
+
+// Count sets the numbers of targets in a zone, of those whose agents take no openings and of
+// the flows that are open there. It has no effect unless the zone is evacuated.
+func (z *EvacuatedZones) Count(zone string, targets, confirmed, flows int) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if figures, ok := z.zones[zone]; ok {
+		figures.Targets, figures.Confirmed, figures.Flows = targets, confirmed, flows
+		z.zones[zone] = figures
+	}
+}
+
+// figures returns the figures of all zones.
+func (z *EvacuatedZones) figures() any {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	figures := make(map[string]evacuatedZone, len(z.zones))
+	maps.Copy(figures, z.zones)
+	return figures
+}
+
 // SegmentMetrics holds the metrics of a process in segment mode. SegmentMetricDescs
 // describes each of them. It is safe for concurrent use.
 type SegmentMetrics struct {
@@ -53,9 +106,11 @@
 	AnswersFailed, Resets, Malformed, SendErrors, Overruns     Counter
 	StoreCalls, StoreErrors, PullErrors, EntriesUnusable       Counter
 	Flows, Pending, Version, Epoch, Revision, Targets, ViewAge Gauge
-	RoutesUnusable                                             Gauge
+	RoutesUnusable, Arriving                                   Gauge
+	EvacuatedZones                                             EvacuatedZones
+	WarmupCredit, WarmupOpenings, WarmupPeak                   Gauge
 	AnswerWait, OpeningToAnswer, StoreCall, Search             *Histogram
-	ExpectedWait, WaitError                                    *Histogram
+	ExpectedWait, WaitError, RequestArrival                    *Histogram
 
 	reasons     [maxReasons]Counter
 	reasonNames []string
@@ -66,7 +121,7 @@
 // MetricDesc describes a published metric of the segment mode.
 type MetricDesc struct {
 	Name string
-	// Kind is counter, gauge, histogram or counters.
+	// Kind is counter, gauge, histogram, counters or zones.
 	Kind string
 	// Unit is the unit of the value.
 	Unit string
@@ -125,10 +180,18 @@
 		gaugeDesc("routes_unusable", "boolean",
 			"balancer: 1 if a published configuration could not be read and no later one is in force; set by the balancer that reads the store",
 			func(m *SegmentMetrics) *Gauge { return &m.RoutesUnusable }),
-		gaugeDesc("flows", "flows", "balancer: flows with a known target",
+		gaugeDesc("flows", "flows", "balancer: flows with a known target; agent: flows that are open at the target, as far as the agent has seen them",
 			func(m *SegmentMetrics) *Gauge { return &m.Flows }),
 		gaugeDesc("pending", "requests", "agent: requests running or queued at the target",
 			func(m *SegmentMetrics) *Gauge { return &m.Pending }),
+		gaugeDesc("arriving", "requests", "agent: requests of several segments of which a part has arrived",
+			func(m *SegmentMetrics) *Gauge { return &m.Arriving }),
+		gaugeDesc("warmup_credit", "openings", "agent: openings that the cold target may take now; -1 if it is warm or its service names no rate",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupCredit }),
+		gaugeDesc("warmup_openings", "openings", "agent: openings that the target took in its running or last warm-up",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupOpenings }),
+		gaugeDesc("warmup_peak", "requests", "agent: most requests counted in one second of the running or last warm-up, at most one above the tolerance",
+			func(m *SegmentMetrics) *Gauge { return &m.WarmupPeak }),
 		gaugeDesc("routes_version", "version", "balancer: version of the routes in force",
 			func(m *SegmentMetrics) *Gauge { return &m.Version }),
 		gaugeDesc("store_epoch", "restores", "balancer: epoch of the store that the table in force is from; 0 if unknown",
@@ -137,15 +200,19 @@
 			func(m *SegmentMetrics) *Gauge { return &m.Revision }),
 		gaugeDesc("targets", "targets", "balancer: targets in the current table",
 			func(m *SegmentMetrics) *Gauge { return &m.Targets }),
+		{"zones_evacuated", "zones", "targets and flows", "evacuated zones, of an agent its own one",
+			func(m *SegmentMetrics) expvar.Var { return expvar.Func(m.EvacuatedZones.figures) }},
 		gaugeDesc("beliefs_age_ms", "milliseconds",
 			"balancer: age of the latest response of the store to this process or to a peer; -1 if there is none",
 			func(m *SegmentMetrics) *Gauge { return &m.ViewAge }),
-		histogramDesc("answer_wait", "agent: time from the first data of a request, or from its last while the target is not known to hold the flow, to the first data of its answer",
+		histogramDesc("answer_wait", "agent: time from the last new byte of a request to the first data of its answer; from its first data if its size is unknown, or from its last if the target is not known to hold the flow either",
 			func(m *SegmentMetrics) *Histogram { return m.AnswerWait }),
 		histogramDesc("expected_wait", "agent: expected value of answer_wait when the request arrived, for requests with an estimate",
 			func(m *SegmentMetrics) *Histogram { return m.ExpectedWait }),
 		histogramDesc("wait_error", "agent: difference between answer_wait and expected_wait",
 			func(m *SegmentMetrics) *Histogram { return m.WaitError }),
+		histogramDesc("request_arrival", "agent: time from the first data of a request of several segments to its last new byte, for requests of known size",
+			func(m *SegmentMetrics) *Histogram { return m.RequestArrival }),
 		histogramDesc("opening_to_answer", "agent: time from the opening of a flow to the first data of its first answer",
 			func(m *SegmentMetrics) *Histogram { return m.OpeningToAnswer }),
 		histogramDesc("store_call", "balancer: duration of a call to the store; a watch without changes lasts until its timeout",
@@ -170,7 +237,7 @@
 func NewSegmentMetrics(name string, reasons ...string) *SegmentMetrics {
 	m := &SegmentMetrics{
 		AnswerWait: newHistogram(), OpeningToAnswer: newHistogram(), StoreCall: newHistogram(), Search: newHistogram(),
-		ExpectedWait: newHistogram(), WaitError: newHistogram(),
+		ExpectedWait: newHistogram(), WaitError: newHistogram(), RequestArrival: newHistogram(),
 		reasonNames: reasons, vars: new(expvar.Map),
 	}
 	for _, desc := range SegmentMetricDescs() {
