--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -171,7 +171,7 @@
 		Message: "search found the owner of a flow", Fields: []string{"flow", "target", "queries", "waited"}}
 	SegmentRefused = Event{Number: 610, Level: log.InfoLevel, Name: "segment_refused",
 		Message: "segment refused; returning it to the balancer", Fields: []string{"flow", "reason", "attempt", "pending", "expected_wait", "service_time",
-			"priority", "budget", "late"}}
+			"priority", "budget", "late", "patience", "waiting", "quote"}}
 	SegmentReturned = Event{Number: 611, Level: log.InfoLevel, Name: "segment_returned",
 		Message: "target does not hold the flow or cannot open it; returning the segment", Fields: []string{"flow", "opening", "balancer"}}
 	AnswerUnusual = Event{Number: 612, Level: log.WarnLevel, Name: "answer_unusual",
@@ -193,6 +193,8 @@
 		Message: "no flow is open any more at the target of an evacuated zone", Fields: []string{"waited", "refused"}}
 	SendFailed = Event{Number: 620, Level: log.WarnLevel, Name: "send_failed",
 		Message: "datagram cannot be sent", Fields: []string{"to", "error"}}
+	OpeningWaits = Event{Number: 621, Level: log.InfoLevel, Name: "opening_waits",
+		Message: "opening waits until the target has room", Fields: []string{"flow", "balancer"}}
 	WarmupBegun = Event{Number: 631, Level: log.InfoLevel, Name: "warmup_begun",
 		Message: "target is cold and takes a limited number of requests", Fields: []string{"rate", "left"}}
 	WarmupEnded = Event{Number: 632, Level: log.InfoLevel, Name: "warmup_ended",
@@ -213,6 +215,6 @@
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
 		FlowPlaced, FlowDecided, FlowReset, FlowFound, SegmentRefused, SegmentReturned, AnswerUnusual, TargetResponds, RequestHanded, RequestAbandoned, TargetFailing, FlowsTold,
-		WarmupBegun, WarmupEnded, WarmupExceeded,
+		TargetEvacuated, TargetEmpty, SendFailed, OpeningWaits, WarmupBegun, WarmupEnded, WarmupExceeded,
 	}
 }
