Steering: searches without query credit probe further targets while none answers

Cause: the first probe stayed the only one until credit was there, also when its targets had not started yet. Change: after the probe timeout the next uncovered targets get the segment, and the silent ones again.

--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -175,13 +175,13 @@
 // queue of searches would wait for replies that do not come.
 func (e *Engine) probeUncovered(now time.Duration, s *search, flow segment.Flow) Verdict {
 	v := Verdict{Action: Hold, Reason: Searching, Flow: flow}
-	if len(s.probed) > 0 {
+	if len(s.probed) > 0 && now-s.probedAt < probeTimeout {
 		return v
 	}
-	if next := e.nextProbeTargets(s, flow, maxFanout); len(next) > 0 {
-		s.startProbe(now, next)
+	s.startProbe(now, e.nextProbeTargets(s, flow, maxFanout))
+	if len(s.probed) > 0 {
 		v.Action = Query
-		v.addAll(next)
+		v.addAll(s.probed)
 	}
 	return v
 }
