Balancer: a diverted caller that comes back is not diverted again

Three tries of a caller are used up within some 12 ms, in which the load of a link does not change: a balancer that diverts half of the uploads resets each of them again, and an eighth fails where all balancers are loaded.

A balancer remembers the hosts whose openings it diverted for 100 ms and takes their next one.

--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -230,11 +230,14 @@
 	// ByServiceTime compares targets by expected completion. Without it, they are
 	// compared by the number of requests per slot.
 	ByServiceTime bool
+	// DivertOnce does not divert a caller's opening again that comes back to a balancer
+	// shortly after it was diverted.
+	DivertOnce bool
 }
 
 // DefaultPolicy returns the policy with all mechanisms.
 func DefaultPolicy() Policy {
-	return Policy{MaxBusyReturns: maxBusyReturns, ByServiceTime: true, TrustReports: true}
+	return Policy{MaxBusyReturns: maxBusyReturns, ByServiceTime: true, TrustReports: true, DivertOnce: true}
 }
 
 // Engine steers the segments of one balancer.
--- a/internal/steering/linkload.go
+++ b/internal/steering/linkload.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/peridotstall/peridotstall/internal/generations"
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
@@ -23,8 +24,19 @@
 	// segmentOverhead is the size of a segment without its data, in bytes: the segment,
 	// UDP and IP headers.
 	segmentOverhead = 60
+	// divertTTL is the time after a diverted opening in which another one counts as the next
+	// try of the same caller. Callers try again within some milliseconds.
+	divertTTL = 100 * time.Millisecond
+	// maxDiverted bounds each generation of callers whose openings were diverted.
+	maxDiverted = 1 << 12
 )
 
+// divertedCaller is the host of a caller whose opening was diverted, and its route.
+type divertedCaller struct {
+	host  [4]byte
+	route segment.Endpoint
+}
+
 // linkLoad measures the share of the host's link that callers' segments use.
 type linkLoad struct {
 	// rate is the link rate in bytes per second; 0 if unknown.
@@ -37,10 +49,16 @@
 	// over all routes.
 	meanBytes map[segment.Endpoint]float64
 	meanTotal float64
+	// diverted holds the callers whose next try is not diverted, with the time of the
+	// diverted one.
+	diverted *generations.Map[divertedCaller, time.Duration]
 }
 
 func newLinkLoad(rate float64) linkLoad {
-	return linkLoad{rate: rate, current: make(map[segment.Endpoint]int), meanBytes: make(map[segment.Endpoint]float64)}
+	return linkLoad{
+		rate: rate, current: make(map[segment.Endpoint]int), meanBytes: make(map[segment.Endpoint]float64),
+		diverted: generations.New[divertedCaller, time.Duration](maxDiverted),
+	}
 }
 
 // add counts a received segment.
@@ -91,3 +109,16 @@
 	}
 	return min(1, (l.meanTotal-allowed)/l.meanBytes[route])
 }
+
+// firstTry reports whether no opening of the same host and route was diverted shortly
+// before this one, which is diverted then. The port of a caller's next try is another one.
+func (l *linkLoad) firstTry(now time.Duration, flow segment.Flow) bool {
+	l.diverted.Rotate(now, divertTTL, nil)
+	caller := divertedCaller{flow.Caller.IP, flow.Service}
+	if at, known := l.diverted.Get(caller); known && now-at < divertTTL {
+		l.diverted.Delete(caller)
+		return false
+	}
+	l.diverted.Put(caller, now)
+	return true
+}
--- a/internal/steering/linkload_test.go
+++ b/internal/steering/linkload_test.go
@@ -83,3 +83,47 @@
 	f = newLoadedFixture(t, 1e6, 10*time.Millisecond)
 	f.c.Check(f.engine.Segment(f.now, uploadOpening(10, 0)).Reason, qt.Equals, Opened, qt.Commentf("a short burst"))
 }
+
+// Guards against uploads that fail because a loaded balancer diverts each try of their
+// callers: three tries are used up within some 12 ms, in which the load does not change.
+func TestSurgeOfUploadsIsDivertedOnce(t *testing.T) {
+	f := newLoadedFixture(t, 1.2e6, time.Second)
+	diverted, failed := 0, 0
+	for i := range 200 {
+		tries := 0
+		for ; tries < 3; tries++ {
+			head := uploadOpening(100+i, 0)
+			head.Source.Port = uint16(50000 + tries)
+			f.now += 2 * time.Millisecond
+			if f.engine.Segment(f.now, head).Reason != Diverted {
+				break
+			}
+			diverted++
+		}
+		if tries == 3 {
+			failed++
+		}
+		// The load stays.
+		f.upload(1.2e6, 10*time.Millisecond)
+	}
+	f.c.Check(failed, qt.Equals, 0)
+	f.c.Check(diverted > 100, qt.IsTrue, qt.Commentf("%d of 200 diverted", diverted))
+}
+
+// Guards against a caller that is never diverted again, and against tries of one route that
+// count for another.
+func TestDivertedCallerIsForgotten(t *testing.T) {
+	f := newLoadedFixture(t, 1e6, time.Second)
+	l := &f.engine.load
+	flow := segment.Flow{Caller: caller(1), Service: uploads}
+	other := segment.Flow{Caller: caller(1), Service: shop}
+	f.c.Check(l.firstTry(f.now, flow), qt.IsTrue)
+	f.c.Check(l.firstTry(f.now, other), qt.IsTrue)
+	f.c.Check(l.firstTry(f.now, flow), qt.IsFalse)
+	f.c.Check(l.firstTry(f.now, flow), qt.IsTrue, qt.Commentf("a further request"))
+	f.c.Check(l.firstTry(f.now+2*divertTTL, flow), qt.IsTrue)
+	for i := range 3 * maxDiverted {
+		l.firstTry(f.now+2*divertTTL, segment.Flow{Caller: caller(i), Service: uploads})
+	}
+	f.c.Check(l.diverted.Len() <= 2*maxDiverted, qt.IsTrue)
+}
--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -99,10 +99,14 @@
 }
 
 // shouldDivert reports whether a new flow should go to another balancer. The hash of
-// the flow selects the diverted share.
+// the flow selects the diverted share. A caller has few tries, so that one that comes back
+// after it was diverted is not diverted again.
 func (e *Engine) shouldDivert(now time.Duration, flow segment.Flow) bool {
 	excess := e.load.excess(now, flow.Service)
-	return excess > 0 && float64(mix(flow.Hash()^divertSalt)) < excess*math.MaxUint64
+	if excess == 0 || float64(mix(flow.Hash()^divertSalt)) >= excess*math.MaxUint64 {
+		return false
+	}
+	return !e.policy.DivertOnce || e.load.firstTry(now, flow)
 }
 
 // openingReturned retries an opening on the next target.
