Balancer: divert uploads while windows fill a small link

They diverted nothing: less than half of the balancers in rotation are four times as large, and the mean load follows a surge too late. Callers send 16 segments at once, so that a few uploads overflow such a link at half of its rate.

Openings of routes that send full segments are diverted while the windows of the sending flows fill 40 ms of the link, if a third of the balancers in rotation are twice as large. The mean load diverts as before. Policy DivertFull switches it off.

Ruled out: the threshold of the mean load alone, lower or higher.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -393,6 +393,32 @@
 	}
 }
 
+// Guards against openings that are diverted from a full link to balancers which are no
+// larger, or to so few that a caller uses up its tries.
+func TestShouldDivertFull(t *testing.T) {
+	tests := []struct {
+		name   string
+		own    uint32
+		others []uint32
+		want   bool
+	}{
+		{"alone", 10, nil, false},
+		{"equal ones", 10, []uint32{10, 10}, false},
+		{"a third", 10, []uint32{200, 22, 22, 10, 10, 10, 10, 10}, true},
+		{"too few", 50, []uint32{200, 50, 50}, false},
+		{"not large enough", 120, []uint32{200, 200}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := New(0, Self{address(9), "a", test.own}, nil)
+			for i, capacity := range test.others {
+				s.Receive(time.Minute, address(i), Digest{Zone: "a", Capacity: capacity, Serving: true})
+			}
+			qt.New(t).Check(s.ShouldDivertFull(time.Minute), qt.Equals, test.want)
+		})
+	}
+}
+
 func BenchmarkNewer(b *testing.B) {
 	s := New(0, Self{Address: address(0), Zone: zone(0)}, nil)
 	for i := 1; i < 59; i++ {
--- a/internal/peers/rotation.go
+++ b/internal/peers/rotation.go
@@ -23,6 +23,9 @@
 // diverted from a balancer to a larger one.
 const divertFactor = 4
 
+// divertFullFactor is that ratio for openings that come while the link is full.
+const divertFullFactor = 2
+
 // InRotation reports whether this balancer should take traffic. The fabric
 // gives every balancer of a zone in rotation the same share, so the smallest
 // one limits the throughput of the zone. Small balancers therefore stay out of
@@ -37,14 +40,28 @@
 // should be diverted: at least half of the balancers in rotation are larger by
 // divertFactor, so that the next attempts of a caller reach one of them.
 func (s *Set) ShouldDivert(now time.Duration) bool {
+	larger, all := s.larger(now, divertFactor)
+	return larger > 0 && 2*larger >= all
+}
+
+// ShouldDivertFull reports whether openings should be diverted while the link of this
+// balancer is full: at least a third of the balancers in rotation are larger by
+// divertFullFactor.
+func (s *Set) ShouldDivertFull(now time.Duration) bool {
+	larger, all := s.larger(now, divertFullFactor)
+	return larger > 0 && 3*larger >= all
+}
+
+// larger returns the number of balancers in rotation that are larger than this one by a
+// factor, and that of all in rotation.
+func (s *Set) larger(now time.Duration, factor uint32) (larger, all int) {
 	chosen := s.rotation(now)
-	larger := 0
 	for _, m := range chosen {
-		if m.capacity/divertFactor >= s.self.Capacity {
+		if m.capacity/factor >= s.self.Capacity {
 			larger++
 		}
 	}
-	return larger > 0 && 2*larger >= len(chosen)
+	return larger, len(chosen)
 }
 
 // rotation returns the balancers of the zone that should take traffic.
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -89,7 +89,9 @@
 	// confirmed is set while the view is known to be the newest.
 	confirmed atomic.Bool
 	// divert is set while most balancers in rotation have a much faster link.
-	divert      atomic.Bool
+	divert atomic.Bool
+	// divertFull is set while a part of them has a faster link.
+	divertFull  atomic.Bool
 	linkDoubted atomic.Bool
 	reports     chan flowReport
 	// held are segments of flows whose owner is being searched. It is used by
@@ -307,6 +309,7 @@
 	b.updateView(now)
 	b.applyReports(now)
 	b.engine.SetDivert(b.divert.Load())
+	b.engine.SetDivertFull(b.divertFull.Load())
 	b.engine.SetPeriod(segment.RankPeriodAt(time.Now()))
 	for _, flow := range b.engine.Tick(now, b.confirmed.Load()) {
 		b.held.take(flow)
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -181,6 +181,7 @@
 	_, behind := b.peers.Newer(now, b.registry.Routes().Version, b.registry.Table().Position())
 	b.confirmed.Store(b.peers.Fresh(now) && !behind && now >= b.partialUntil)
 	b.divert.Store(b.peers.ShouldDivert(now))
+	b.divertFull.Store(b.peers.ShouldDivertFull(now))
 	due := b.peers.Due(now, false)
 	round, pinging := b.pings.Round(now, time.Duration(b.lastPacket.Load()))
 	lost := b.peers.Lost(now)
--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -233,11 +233,14 @@
 	// DivertOnce does not divert a caller's opening again that comes back to a balancer
 	// shortly after it was diverted.
 	DivertOnce bool
+	// DivertFull diverts openings of heavy routes while the windows of the flows that send
+	// fill the link.
+	DivertFull bool
 }
 
 // DefaultPolicy returns the policy with all mechanisms.
 func DefaultPolicy() Policy {
-	return Policy{MaxBusyReturns: maxBusyReturns, ByServiceTime: true, TrustReports: true, DivertOnce: true}
+	return Policy{MaxBusyReturns: maxBusyReturns, ByServiceTime: true, TrustReports: true, DivertOnce: true, DivertFull: true}
 }
 
 // Engine steers the segments of one balancer.
@@ -258,8 +261,10 @@
 	// divertEnabled is set if most balancers that receive callers' segments have a much
 	// larger link than this one.
 	divertEnabled bool
-	load          linkLoad
-	period        segment.RankPeriod
+	// divertFullEnabled is set if some of them have a larger link.
+	divertFullEnabled bool
+	load              linkLoad
+	period            segment.RankPeriod
 	// silent is the number of silent targets at the last tick.
 	silent int
 	// local, all and scratch are buffers of rank.
@@ -317,6 +322,11 @@
 // that receive callers' segments have a much larger link than this one.
 func (e *Engine) SetDivert(enabled bool) { e.divertEnabled = enabled }
 
+// SetDivertFull enables diversion of heavy flows while the windows of others fill the link.
+// The caller enables it if some balancers that receive callers' segments have a larger link
+// than this one.
+func (e *Engine) SetDivertFull(enabled bool) { e.divertFullEnabled = enabled }
+
 // SetPeriod sets the period for which callers are ranked.
 func (e *Engine) SetPeriod(period segment.RankPeriod) { e.period = period }
 
@@ -372,7 +382,7 @@
 // Segment decides on a segment from a caller.
 func (e *Engine) Segment(now time.Duration, head segment.Head) Verdict {
 	flow := head.FromCaller()
-	e.load.add(now, head, flow.Service)
+	e.load.add(now, head, flow)
 	switch {
 	case !e.configured():
 		return Verdict{Action: Wait, Reason: Unconfigured, Flow: flow}
--- a/internal/steering/linkload.go
+++ b/internal/steering/linkload.go
@@ -24,6 +24,16 @@
 	// segmentOverhead is the size of a segment without its data, in bytes: the segment,
 	// UDP and IP headers.
 	segmentOverhead = 60
+	// fullSegment is the number of payload bytes from which on a segment is one of many of
+	// its flow, callerWindow the number of segments that a caller sends at once.
+	fullSegment  = 1000
+	callerWindow = 16
+	// windowTime is the time for which the windows of all sending flows may fill the link.
+	windowTime = 40 * time.Millisecond
+	// sendingTTL is the time after its last full segment for which a flow counts as sending.
+	sendingTTL = 100 * time.Millisecond
+	// maxSending bounds the sending flows of which the load keeps account.
+	maxSending = 1 << 10
 	// divertTTL is the time after a diverted opening in which another one counts as the next
 	// try of the same caller. Callers try again within some milliseconds.
 	divertTTL = 100 * time.Millisecond
@@ -42,34 +52,85 @@
 	// rate is the link rate in bytes per second; 0 if unknown.
 	rate float64
 	// intervalStart is the start of the current interval; current holds its bytes by
-	// route.
-	intervalStart time.Duration
-	current       map[segment.Endpoint]int
+	// route, currentFull those of full segments.
+	intervalStart        time.Duration
+	current, currentFull map[segment.Endpoint]int
 	// meanBytes is the mean number of bytes per interval by route; meanTotal is the sum
 	// over all routes.
 	meanBytes map[segment.Endpoint]float64
 	meanTotal float64
+	// meanFull is the mean number of bytes of full segments per interval by route.
+	meanFull map[segment.Endpoint]float64
 	// diverted holds the callers whose next try is not diverted, with the time of the
 	// diverted one.
 	diverted *generations.Map[divertedCaller, time.Duration]
+	// sending holds the flows that send many segments, with the time of their last one.
+	sending map[segment.Flow]time.Duration
 }
 
 func newLinkLoad(rate float64) linkLoad {
 	return linkLoad{
-		rate: rate, current: make(map[segment.Endpoint]int), meanBytes: make(map[segment.Endpoint]float64),
-		diverted: generations.New[divertedCaller, time.Duration](maxDiverted),
+		rate: rate, current: make(map[segment.Endpoint]int), currentFull: make(map[segment.Endpoint]int),
+		meanBytes: make(map[segment.Endpoint]float64), meanFull: make(map[segment.Endpoint]float64),
+		diverted: generations.New[divertedCaller, time.Duration](maxDiverted), sending: make(map[segment.Flow]time.Duration),
 	}
 }
 
 // add counts a received segment.
-func (l *linkLoad) add(now time.Duration, head segment.Head, route segment.Endpoint) {
+func (l *linkLoad) add(now time.Duration, head segment.Head, flow segment.Flow) {
 	if l.rate == 0 {
 		return
 	}
 	if now-l.intervalStart >= rateInterval {
 		l.endIntervals(now)
 	}
-	l.current[route] += head.DataLength + segmentOverhead
+	l.current[flow.Service] += head.DataLength + segmentOverhead
+	if head.DataLength >= fullSegment {
+		l.currentFull[flow.Service] += head.DataLength + segmentOverhead
+		l.begin(now, flow)
+	}
+}
+
+// begin counts a flow as sending if its route takes a large share of the received bytes in
+// full segments.
+func (l *linkLoad) begin(now time.Duration, flow segment.Flow) {
+	if !l.bulk(now, flow.Service) {
+		return
+	}
+	if _, known := l.sending[flow]; !known && len(l.sending) >= maxSending {
+		if l.expire(now); len(l.sending) >= maxSending {
+			return
+		}
+	}
+	l.sending[flow] = now
+}
+
+// expire forgets flows that no longer send.
+func (l *linkLoad) expire(now time.Duration) {
+	for flow, at := range l.sending {
+		if now-at >= sendingTTL {
+			delete(l.sending, flow)
+		}
+	}
+}
+
+// full reports whether the windows of the sending flows fill the link, so that a further
+// one of the route would lose segments, and those of other routes with its own.
+func (l *linkLoad) full(now time.Duration, route segment.Endpoint) bool {
+	if l.rate == 0 || !l.bulk(now, route) {
+		return false
+	}
+	l.expire(now)
+	window := float64(callerWindow * (fullSegment + segmentOverhead))
+	return float64(len(l.sending)) >= max(1, math.Floor(l.rate*windowTime.Seconds()/window))
+}
+
+// bulk reports whether a route takes a large share of the received bytes in full segments.
+func (l *linkLoad) bulk(now time.Duration, route segment.Endpoint) bool {
+	if now-l.intervalStart >= rateInterval {
+		l.endIntervals(now)
+	}
+	return l.meanFull[route] > heavyRouteShare*l.meanTotal
 }
 
 // endIntervals closes the current interval; intervals without a segment count as 0
@@ -78,11 +139,13 @@
 	intervals := int((now - l.intervalStart) / rateInterval)
 	emptyDecay := math.Pow(rateDecay, float64(intervals-1))
 	l.meanTotal *= rateDecay * emptyDecay
-	for route, mean := range l.meanBytes {
-		if mean *= rateDecay * emptyDecay; mean < 1 {
-			delete(l.meanBytes, route)
-		} else {
-			l.meanBytes[route] = mean
+	for _, means := range []map[segment.Endpoint]float64{l.meanBytes, l.meanFull} {
+		for route, mean := range means {
+			if mean *= rateDecay * emptyDecay; mean < 1 {
+				delete(means, route)
+			} else {
+				means[route] = mean
+			}
 		}
 	}
 	for route, bytes := range l.current {
@@ -90,7 +153,11 @@
 		l.meanBytes[route] += share
 		l.meanTotal += share
 	}
+	for route, bytes := range l.currentFull {
+		l.meanFull[route] += (1 - rateDecay) * emptyDecay * float64(bytes)
+	}
 	clear(l.current)
+	clear(l.currentFull)
 	l.intervalStart += time.Duration(intervals) * rateInterval
 }
 
--- a/internal/steering/linkload_test.go
+++ b/internal/steering/linkload_test.go
@@ -127,3 +127,76 @@
 	}
 	f.c.Check(l.diverted.Len() <= 2*maxDiverted, qt.IsTrue)
 }
+
+// Guards against a surge of uploads that makes all requests late on a small link, although
+// its mean load is low and larger balancers are idle: callers send whole windows, and a few
+// of them at once overflow the link (nagham-lessons-grown trouble-3: 1,108 of 16,079 streams
+// late once targets took the uploads).
+func TestSurgeOfUploadsOnASmallLink(t *testing.T) {
+	f := newLoadedFixture(t, 0.1e6, time.Second)
+	f.engine.SetDivert(false)
+	f.engine.SetDivertFull(true)
+	taken := 0
+	for i := range 20 {
+		switch v := f.engine.Segment(f.now, uploadOpening(100+i, 0)); v.Reason {
+		case Opened:
+			taken++
+		case Diverted:
+			f.c.Assert(v.Action, qt.Equals, Reset)
+		default:
+			f.c.Fatalf("%v", v.Reason)
+		}
+	}
+	// A window is 17 kB with its headers, and 40 ms of the link are 50 kB. One flow is sending.
+	f.c.Check(taken, qt.Equals, 1)
+	for i := range 20 {
+		f.c.Assert(f.engine.Segment(f.now, opening(300+i, 0)).Reason, qt.Equals, Opened, qt.Commentf("other routes"))
+		f.c.Assert(f.engine.Segment(f.now, uploadOpening(400+i, 1)).Reason, qt.Equals, Repeated, qt.Commentf("a later copy"))
+	}
+	for i := 1; i < 20; i++ {
+		head := uploadOpening(100+i, 0)
+		head.Source.Port++
+		f.c.Assert(f.engine.Segment(f.now+time.Millisecond, head).Reason, qt.Equals, Opened, qt.Commentf("the next try of a caller that was diverted"))
+	}
+	f.now += time.Millisecond + sendingTTL
+	f.c.Check(f.engine.Segment(f.now, uploadOpening(500, 0)).Reason, qt.Equals, Opened, qt.Commentf("no flow sends any more"))
+}
+
+// Guards against uploads that are diverted without a larger balancer, from a link that has
+// room, or although the route sends no full segments.
+func TestFullLinkKeepsFlows(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(f *fixture)
+		head   func(i int) segment.Head
+	}{
+		{"no larger balancer", func(f *fixture) { f.engine.SetDivertFull(false) }, func(i int) segment.Head { return uploadOpening(i, 0) }},
+		{"switched off", func(f *fixture) { f.engine.policy.DivertFull = false }, func(i int) segment.Head { return uploadOpening(i, 0) }},
+		{"large link", func(f *fixture) { f.engine.load.rate *= 20 }, func(i int) segment.Head { return uploadOpening(i, 0) }},
+		{"unknown link", func(f *fixture) { f.engine.load.rate = 0 }, func(i int) segment.Head { return uploadOpening(i, 0) }},
+		{"other route", func(*fixture) {}, func(i int) segment.Head { return opening(i, 0) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newLoadedFixture(t, 0.1e6, time.Second)
+			f.engine.SetDivert(false)
+			f.engine.SetDivertFull(true)
+			test.change(f)
+			for i := range 20 {
+				f.c.Assert(f.engine.Segment(f.now, test.head(100+i)).Reason, qt.Equals, Opened)
+			}
+		})
+	}
+}
+
+// Guards against an account of sending flows that grows without bound.
+func TestSendingFlowsAreBounded(t *testing.T) {
+	f := newLoadedFixture(t, 0.1e6, time.Second)
+	l := &f.engine.load
+	for i := range 3 * maxSending {
+		l.begin(f.now, segment.Flow{Caller: caller(i), Service: uploads})
+	}
+	f.c.Check(len(l.sending), qt.Equals, maxSending)
+	f.now += sendingTTL
+	l.begin(f.now, segment.Flow{Caller: caller(4 * maxSending), Service: uploads})
+	f.c.Check(len(l.sending), qt.Equals, 1)
+}
--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -24,7 +24,7 @@
 		// The network duplicated the segment, or the caller uses the port again.
 		return e.forwardOpening(Opened, flow, route, r.target, head.Age)
 	}
-	if !known && head.Copy == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
+	if !known && head.Copy == 0 && e.shouldDivert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
 	}
 	if route.Timeout > 0 && head.Age >= route.Timeout {
@@ -102,11 +102,24 @@
 // the flow selects the diverted share. A caller has few tries, so that one that comes back
 // after it was diverted is not diverted again.
 func (e *Engine) shouldDivert(now time.Duration, flow segment.Flow) bool {
-	excess := e.load.excess(now, flow.Service)
-	if excess == 0 || float64(mix(flow.Hash()^divertSalt)) >= excess*math.MaxUint64 {
+	divert := e.exceedsRate(now, flow) || e.policy.DivertFull && e.divertFullEnabled && e.load.full(now, flow.Service)
+	if divert && e.policy.DivertOnce {
+		divert = e.load.firstTry(now, flow)
+	}
+	if !divert {
+		e.load.begin(now, flow)
+	}
+	return divert
+}
+
+// exceedsRate reports whether a flow is among the share of heavy flows above the mean load
+// that the link may have.
+func (e *Engine) exceedsRate(now time.Duration, flow segment.Flow) bool {
+	if !e.divertEnabled {
 		return false
 	}
-	return !e.policy.DivertOnce || e.load.firstTry(now, flow)
+	excess := e.load.excess(now, flow.Service)
+	return excess > 0 && float64(mix(flow.Hash()^divertSalt)) < excess*math.MaxUint64
 }
 
 // openingReturned retries an opening on the next target.
