--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -24,7 +24,7 @@
 		// The network duplicated the segment, or the caller uses the port again.
 		return e.forwardOpening(now, Opened, flow, route, r.target, head)
 	}
-	if !known && head.Copy == 0 && e.divertEnabled && e.shouldDivert(now, flow) {
+	if !known && head.Copy == 0 && e.shouldDivert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
 	}
 	if route.Timeout > 0 && head.Age >= route.Timeout {
@@ -131,8 +131,25 @@
 }
 
 // shouldDivert reports whether a new flow should go to another balancer. The hash of
-// the flow selects the diverted share.
+// the flow selects the diverted share. A caller has few tries, so that one that comes back
+// after it was diverted is not diverted again.
 func (e *Engine) shouldDivert(now time.Duration, flow segment.Flow) bool {
+	divert := e.exceedsRate(now, flow) || e.policy.DivertFull && e.divertFullEnabled && e.load.full(now, flow.Service)
+	if divert && e.policy.DivertOnce {
+		divert = e.load.firstTry(now, flow)
+	}
+	if !divert {
+		e.load.begin(now, flow)
+	}
+	return divert
+}
+
+// exceedsRate reports whether a flow is among the share of heavy flows above the mean load
+// that the link may have.
+func (e *Engine) exceedsRate(now time.Duration, flow segment.Flow) bool {
+	if !e.divertEnabled {
+		return false
+	}
 	excess := e.load.excess(now, flow.Service)
 	return excess > 0 && float64(mix(flow.Hash()^divertSalt)) < excess*math.MaxUint64
 }
