loadmodel: the emptied zone is one that the operator evacuates

Cause: the pattern zone-emptied took the targets of a zone out of the table, because views did not know evacuations yet. Change: views get the evacuated zone.

--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -237,9 +237,20 @@
 
 func (c *Config) zone(i int) string { return fmt.Sprintf("zone-%d", i%c.Zones) }
 
-// emptied reports whether a target is in a zone that gets no new flows any more.
-func (m *model) emptied(i int) bool {
-	return m.config.EmptiedZone >= 0 && i%m.config.Zones == m.config.EmptiedZone && m.elapsed() >= m.config.EmptiedAt
+// evacuations returns the zones that get no new flows.
+func (m *model) evacuations() registry.Evacuations {
+	e := registry.Evacuations{Revision: m.revision}
+	if m.config.EmptiedZone >= 0 && m.elapsed() >= m.config.EmptiedAt {
+		e.Zones = []string{m.config.zone(m.config.EmptiedZone)}
+	}
+	return e
+}
+
+// view returns a view of all targets for the engine of a balancer whose earlier one may be nil.
+func (m *model) view(previous *steering.View) *steering.View {
+	v := steering.NewView(m.now, previous, m.routes(), m.table(), agentPort)
+	v.Evacuate(m.evacuations())
+	return v
 }
 
 // routes returns one route for each class, at a port of its own.
@@ -258,13 +269,10 @@
 	return segment.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: uint16(1000 + class)}
 }
 
-// table returns the entries of all targets that may get new flows.
+// table returns the entries of all targets.
 func (m *model) table() registry.Table {
 	table := registry.Table{Revision: m.revision}
 	for i, t := range m.targets {
-		if m.emptied(i) {
-			continue
-		}
 		table.Targets = append(table.Targets, registry.Target{
 			ID: fmt.Sprint("target-", i), Born: int64(t.born) + 1, Service: serviceName, Zone: m.config.zone(i), Slots: t.Slots,
 			Address: netip.AddrPortFrom(t.host, 80), Cold: m.now < t.ColdUntil+time.Second,
@@ -278,7 +286,7 @@
 	for i, b := range m.balancers {
 		m.after(m.upTo(spread), func() {
 			b.engine = steering.NewWithPolicy(m.config.zone(i), 0, m.config.Choice)
-			b.engine.SetView(m.now, steering.NewView(m.now, nil, m.routes(), m.table(), agentPort))
+			b.engine.SetView(m.now, m.view(nil))
 			b.engine.Tick(m.now, true)
 		})
 	}
@@ -328,7 +336,7 @@
 	m.revision++
 	for _, b := range m.balancers {
 		if b.engine != nil {
-			b.engine.SetView(m.now, steering.NewView(m.now, b.engine.View(), m.routes(), m.table(), agentPort))
+			b.engine.SetView(m.now, m.view(b.engine.View()))
 		}
 	}
 }
