Warm-up: a target that may have started again is held to the rate

Ruled out: a limit on all targets until they are described (agents that restart beside warm targets). Change: an answer after a silence, or a return of a flow that the target held, counts as a sign; the last rate holds for 1.5 s or until a new incarnation is described. TestTargetThatMayHaveStartedAgain fails before.

--- a/internal/occupancy/answers.go
+++ b/internal/occupancy/answers.go
@@ -118,6 +118,9 @@
 
 // Answered records a segment that the target sent to a caller.
 func (t *Tracker) Answered(now time.Duration, head segment.Head, outcome Outcome) Answer {
+	if t.Unresponsive(now) {
+		t.warmup.Suspect(now)
+	}
 	t.unansweredSince = 0
 	flow := head.FromTarget()
 	s, known := t.flows.Get(flow)
@@ -218,9 +221,12 @@
 
 // Returned records a segment that the target returned.
 func (t *Tracker) Returned(now time.Duration, head segment.Head) {
-	t.unansweredSince = 0
 	flow := head.FromCaller()
 	s, _ := t.flows.Get(flow)
+	if t.Unresponsive(now) || s.open() {
+		t.warmup.Suspect(now)
+	}
+	t.unansweredSince = 0
 	t.update(now, flow, s, flowState{})
 	t.flows.Delete(flow)
 }
--- a/internal/occupancy/warmup_test.go
+++ b/internal/occupancy/warmup_test.go
@@ -105,3 +105,39 @@
 	credit, _ := tr.Warmup().Credit(coldStart)
 	c.Check(credit, qt.Equals, 1)
 }
+
+// Guards against a target that crashes and starts again at its address, and that takes
+// openings without a limit until its agent hears of the new incarnation (soak, seed 1: 20 in
+// 149 ms, limit 8).
+func TestTargetThatMayHaveStartedAgain(t *testing.T) {
+	for name, sign := range map[string]func(tr *Tracker){
+		"answers again": func(tr *Tracker) {
+			tr.Delivered(10*time.Second, opening(1), mark, 0, nil)
+			tr.Answered(10*time.Second+400*ms, fromTarget(1, segment.Head{Opening: true, Accepted: true}), NoOutcome)
+		},
+		"returns a flow that it held": func(tr *Tracker) {
+			openFlow(tr, 10*time.Second, 1)
+			tr.Answered(10*time.Second+10*ms, fromTarget(1, segment.Head{DataLength: 10}), Succeeded)
+			tr.Returned(10*time.Second+400*ms, request(1))
+		},
+	} {
+		c := qt.New(t)
+		tr := New("web")
+		l := warmup.New(0, warmup.Tolerance{})
+		l.Describe(time.Second, warmup.Description{Version: 1, Rate: 4, Born: 1, Sequence: 1})
+		tr.SetWarmup(l)
+		c.Check(l.Cold(9*time.Second), qt.IsFalse)
+		sign(tr)
+		now := 10*time.Second + 401*ms
+		taken := 0
+		for port := range uint16(50) {
+			if tr.Admit(now, opening(100+port), mark) == Accepted {
+				taken++
+			}
+		}
+		c.Check(taken <= 4, qt.IsTrue, qt.Commentf("%s: %d taken", name, taken))
+		c.Check(l.Cold(now+2*time.Second), qt.IsFalse, qt.Commentf("it had not started again"))
+		l.Describe(now, warmup.Description{Version: 1, Rate: 4, Born: 2, Sequence: 1, Left: 100 * ms})
+		c.Check(l.Cold(now+200*ms), qt.IsFalse, qt.Commentf("the new incarnation is warm"))
+	}
+}
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -11,6 +11,9 @@
 	MaxRate = 10_000
 	// initialEvents is the number of events that are held while no rate is known.
 	initialEvents = 256
+	// suspicionTime is the time for which a target that may have started again is held to the
+	// rate: its entry reaches the balancers, and their description the agent, within it.
+	suspicionTime = 1500 * time.Millisecond
 	// maxIncarnations bounds the incarnations of a target that are remembered.
 	maxIncarnations = 8
 )
@@ -72,6 +75,9 @@
 	incarnations []incarnation
 	grants       grants
 	phase        Phase
+	// suspectedUntil is the time until which the target is held to the rate because it may
+	// have started again; 0 if there is no sign of that.
+	suspectedUntil time.Duration
 }
 
 // New returns the limiter of an agent that starts now. Its window starts full, because
@@ -102,8 +108,13 @@
 		l.incarnations = slices.Delete(l.incarnations, 0, 1)
 	}
 	l.incarnations = append(l.incarnations, incarnation{d.Born, EndOf(now, d.Sequence, d.Left)})
+	l.suspectedUntil = 0
 }
 
+// Suspect records a sign that the target has started again. It is held to the rate until a
+// new incarnation is described, or for suspicionTime if none is.
+func (l *Limiter) Suspect(now time.Duration) { l.suspectedUntil = now + suspicionTime }
+
 func (l *Limiter) setRate(rate float64) {
 	if !(rate > 0 && rate <= MaxRate) {
 		rate = 0
@@ -126,7 +137,7 @@
 
 // Left returns the time until the target is warm; 0 if it is, or nothing is known.
 func (l *Limiter) Left(now time.Duration) time.Duration {
-	left := time.Duration(0)
+	left := max(l.suspectedUntil-now, 0)
 	for _, i := range l.incarnations {
 		left = max(left, i.end.At-now)
 	}
