--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -175,13 +175,13 @@
 // queue of searches would wait for replies that do not come.
 func (e *Engine) probeUncovered(now time.Duration, s *search, flow segment.Flow) Verdict {
 	v := Verdict{Action: Hold, Reason: Searching, Flow: flow}
-	if len(s.probed) > 0 && now-s.probedAt < probeTimeout {
+	if len(s.probed) > 0 {
 		return v
 	}
-	s.startProbe(now, e.nextProbeTargets(s, flow, maxFanout))
-	if len(s.probed) > 0 {
+	if next := e.nextProbeTargets(s, flow, maxFanout); len(next) > 0 {
+		s.startProbe(now, next)
 		v.Action = Query
-		v.addAll(s.probed)
+		v.addAll(next)
 	}
 	return v
 }
