--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -149,7 +149,7 @@
 	}
 	if !e.queriesAllowed(now) {
 		e.schedule(s, flow, now+requeryInterval)
-		return e.probeUncovered(now, s, flow)
+		return Verdict{Action: Hold, Reason: Searching, Flow: flow}
 	}
 	v := Verdict{Reason: Searching, Flow: flow}
 	if s.rounds%2 == 0 {
@@ -170,22 +170,6 @@
 	return v
 }
 
-// probeUncovered probes targets whose agents have not seen all of their flows, while the link
-// leaves no room for queries. After a restart of all agents none of them knows a flow, and a
-// queue of searches would wait for replies that do not come.
-func (e *Engine) probeUncovered(now time.Duration, s *search, flow segment.Flow) Verdict {
-	v := Verdict{Action: Hold, Reason: Searching, Flow: flow}
-	if len(s.probed) > 0 {
-		return v
-	}
-	if next := e.nextProbeTargets(s, flow, maxFanout); len(next) > 0 {
-		s.startProbe(now, next)
-		v.Action = Query
-		v.addAll(next)
-	}
-	return v
-}
-
 // queriesAllowed reports whether the query rate allows queries now.
 func (e *Engine) queriesAllowed(now time.Duration) bool {
 	e.chargeQueries(now, 0)
