Balancer: remember routes of large requests for 2 s

Between two uploads the share of their route in the received bytes falls below a quarter, so that the next burst was taken whole.

TestPauseBetweenUploads fails with the share of the moment in its place.

--- a/internal/steering/linkload.go
+++ b/internal/steering/linkload.go
@@ -30,6 +30,10 @@
 	callerWindow = 16
 	// windowTime is the time for which the windows of all sending flows may fill the link.
 	windowTime = 40 * time.Millisecond
+	// bulkTTL is the time for which a route counts as one of large requests after it took a
+	// large share of the received bytes in full segments. Between two requests its share
+	// is small.
+	bulkTTL = 2 * time.Second
 	// sendingTTL is the time after its last full segment for which a flow counts as sending.
 	sendingTTL = 100 * time.Millisecond
 	// maxSending bounds the sending flows of which the load keeps account.
@@ -61,6 +65,8 @@
 	meanTotal float64
 	// meanFull is the mean number of bytes of full segments per interval by route.
 	meanFull map[segment.Endpoint]float64
+	// bulkUntil is the time until which a route counts as one of large requests.
+	bulkUntil map[segment.Endpoint]time.Duration
 	// diverted holds the callers whose next try is not diverted, with the time of the
 	// diverted one.
 	diverted *generations.Map[divertedCaller, time.Duration]
@@ -72,7 +78,8 @@
 	return linkLoad{
 		rate: rate, current: make(map[segment.Endpoint]int), currentFull: make(map[segment.Endpoint]int),
 		meanBytes: make(map[segment.Endpoint]float64), meanFull: make(map[segment.Endpoint]float64),
-		diverted: generations.New[divertedCaller, time.Duration](maxDiverted), sending: make(map[segment.Flow]time.Duration),
+		bulkUntil: make(map[segment.Endpoint]time.Duration),
+		diverted:  generations.New[divertedCaller, time.Duration](maxDiverted), sending: make(map[segment.Flow]time.Duration),
 	}
 }
 
@@ -91,8 +98,7 @@
 	}
 }
 
-// begin counts a flow as sending if its route takes a large share of the received bytes in
-// full segments.
+// begin counts a flow as sending if its route is one of large requests.
 func (l *linkLoad) begin(now time.Duration, flow segment.Flow) {
 	if !l.bulk(now, flow.Service) {
 		return
@@ -125,12 +131,13 @@
 	return float64(len(l.sending)) >= max(1, math.Floor(l.rate*windowTime.Seconds()/window))
 }
 
-// bulk reports whether a route takes a large share of the received bytes in full segments.
+// bulk reports whether a route took a large share of the received bytes in full segments
+// lately.
 func (l *linkLoad) bulk(now time.Duration, route segment.Endpoint) bool {
 	if now-l.intervalStart >= rateInterval {
 		l.endIntervals(now)
 	}
-	return l.meanFull[route] > heavyRouteShare*l.meanTotal
+	return now < l.bulkUntil[route]
 }
 
 // endIntervals closes the current interval; intervals without a segment count as 0
@@ -159,6 +166,16 @@
 	clear(l.current)
 	clear(l.currentFull)
 	l.intervalStart += time.Duration(intervals) * rateInterval
+	for route, mean := range l.meanFull {
+		if mean > heavyRouteShare*l.meanTotal {
+			l.bulkUntil[route] = now + bulkTTL
+		}
+	}
+	for route, until := range l.bulkUntil {
+		if now >= until {
+			delete(l.bulkUntil, route)
+		}
+	}
 }
 
 // excess returns the share of new flows of a route to divert so that the link load
--- a/internal/steering/linkload_test.go
+++ b/internal/steering/linkload_test.go
@@ -200,3 +200,25 @@
 	l.begin(f.now, segment.Flow{Caller: caller(4 * maxSending), Service: uploads})
 	f.c.Check(len(l.sending), qt.Equals, 1)
 }
+
+// Guards against a burst of uploads that is taken whole because none came for a moment
+// before it.
+func TestPauseBetweenUploads(t *testing.T) {
+	f := newLoadedFixture(t, 0.1e6, time.Second)
+	f.engine.SetDivert(false)
+	f.engine.SetDivertFull(true)
+	for end := f.now + time.Second; f.now < end; f.now += time.Millisecond {
+		f.engine.Segment(f.now, segment.Head{Source: caller(2), Destination: shop, DataLength: 20})
+	}
+	f.reportIdle()
+	taken := 0
+	for i := range 20 {
+		if f.engine.Segment(f.now, uploadOpening(100+i, 0)).Reason == Opened {
+			taken++
+		}
+	}
+	f.c.Check(taken, qt.Equals, 2)
+	f.now += bulkTTL
+	f.c.Check(f.engine.Segment(f.now, uploadOpening(500, 0)).Reason, qt.Equals, Opened)
+	f.c.Check(f.engine.load.bulk(f.now, uploads), qt.IsFalse)
+}
