Steering: the second query of a search leaves out agents that cannot deny the flow

Cause: after a restart of all processes no agent knows a flow. Change: the second query goes to the first eight and to the agents that have seen all of their flows; further ones go to all, as before. Nothing changes where all agents have.

--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -156,6 +156,9 @@
 		v.agents = e.queryTargets(flow, firstQueryAgents)
 	} else {
 		v.agents, v.negativeReplies = e.queryTargets(flow, maxQueryAgents), true
+		if s.rounds == 1 {
+			v.agents = withoutUncovered(v.agents)
+		}
 		s.startProbe(now, e.nextProbeTargets(s, flow, maxFanout))
 		v.addAll(s.probed)
 	}
@@ -170,6 +173,15 @@
 	return v
 }
 
+// withoutUncovered returns the targets of a query but for those beyond the first ones whose
+// agents have not seen all of their flows. These cannot reply that their target does not hold
+// a flow, and after a restart of all agents they know none: queries to them would only use up
+// the rate for other searches. Later queries go to them too.
+func withoutUncovered(targets []*Target) []*Target {
+	first := min(firstQueryAgents, len(targets))
+	return append(targets[:first:first], slices.DeleteFunc(slices.Clone(targets[first:]), func(t *Target) bool { return !t.load.complete.Load() })...)
+}
+
 // queriesAllowed reports whether the query rate allows queries now.
 func (e *Engine) queriesAllowed(now time.Duration) bool {
 	e.chargeQueries(now, 0)
--- a/internal/steering/search_test.go
+++ b/internal/steering/search_test.go
@@ -186,6 +186,38 @@
 	f.c.Check(sent > 300, qt.IsTrue)
 }
 
+// When all processes restart, no agent knows a flow, and the targets hold them still. Guards
+// against searches on a small link that wait for the rate of queries which nobody can answer
+// (nagham-lessons-grown trouble-3: up to 2.4 s).
+func TestQueriesAfterARestartOfAllAgents(t *testing.T) {
+	f := newFixture(t, 41)
+	f.engine.queryRate = 2000
+	f.engine.creditUpdated, f.engine.queryCredit = f.now, 500
+	for _, t := range f.engine.View().Targets() {
+		t.Report(f.now, Report{})
+	}
+	const flows = 90
+	for i := range flows {
+		f.c.Assert(f.engine.Segment(f.now, data(i)).Action, qt.Equals, Query)
+	}
+	start, probed := f.now, map[segment.Flow]time.Duration{}
+	for f.now-start < 2*time.Second {
+		f.now += 10 * time.Millisecond
+		for _, v := range f.continueDue() {
+			if _, before := probed[v.Flow]; !before && len(v.Targets()) > 0 {
+				probed[v.Flow] = f.now - start
+				f.engine.SetOwner(f.now, v.Flow, v.Targets()[0])
+			}
+		}
+	}
+	last := time.Duration(0)
+	for _, at := range probed {
+		last = max(last, at)
+	}
+	f.c.Check(probed, qt.HasLen, flows)
+	f.c.Check(last <= 800*time.Millisecond, qt.IsTrue, qt.Commentf("the last flow was probed after %s", last))
+}
+
 // Guards against a search for a flow that its agent has just restored after a restart
 // of the balancer, and against a restored flow that replaces newer state.
 func TestRestoredFlowsAreKnown(t *testing.T) {
