--- a/internal/loadmodel/target.go
+++ b/internal/loadmodel/target.go
@@ -173,7 +173,7 @@
 // withdraw drops a waiting opening.
 func (t *target) withdraw(flow segment.Flow) {
 	if t.tracker != nil {
-		t.tracker.Withdraw(flow)
+		t.tracker.Withdraw(flow, 0)
 		delete(t.waiting, flow)
 	}
 }
--- a/internal/occupancy/occupancy.go
+++ b/internal/occupancy/occupancy.go
@@ -335,8 +335,9 @@
 	if !head.Opening {
 		return Accepted
 	}
-	if s, known := t.flows.Get(head.FromCaller()); known && s.accepted && !s.ended {
-		// A refusal says that the target does not hold the flow.
+	if s, known := t.flows.Get(head.FromCaller()); known && !s.ended && (s.accepted || s.counted(now) && !t.Unresponsive(now)) {
+		// A refusal says that the target does not hold the flow, but it may be about to
+		// accept an earlier copy.
 		return Accepted
 	}
 	t.expireOpenings(now)
--- a/internal/occupancy/waiting.go
+++ b/internal/occupancy/waiting.go
@@ -51,11 +51,11 @@
 // mayWait reports whether an opening that the target has no room for can be answered within
 // its patience if it waits.
 func (t *Tracker) mayWait(now time.Duration, mark segment.Mark) bool {
-	if !t.policy.Wait || !mark.MayWait || mark.Cold || mark.Patience == 0 || t.work.slots == 0 {
+	if !t.policy.Wait || !mark.MayWait || mark.Cold {
 		return false
 	}
-	turn, ok := t.expectedTurn(now, mark)
-	return ok && turn+t.answerTime(mark.Patience) <= mark.Patience
+	answer := t.Quote(now, mark)
+	return answer > 0 && answer <= mark.Patience
 }
 
 // serviceTime returns the mean service time, or an assumed one that suits a patience.
@@ -85,9 +85,9 @@
 }
 
 // Quote returns the time in which an opening that is refused now could be answered if it
-// waited; 0 if unknown.
+// waited; 0 if it could not wait or the time is unknown.
 func (t *Tracker) Quote(now time.Duration, mark segment.Mark) time.Duration {
-	if mark.Patience == 0 || t.work.slots == 0 {
+	if mark.Patience == 0 || t.work.slots == 0 || t.warmup.Cold(now) {
 		return 0
 	}
 	turn, ok := t.expectedTurn(now, mark)
@@ -98,10 +98,10 @@
 }
 
 // Wait adds an opening that Admit let wait to the line, and reports whether there was room
-// for it. An opening that waits already stays where it is.
+// for it. A copy of one that waits already takes its place.
 func (t *Tracker) Wait(now time.Duration, head segment.Head, mark segment.Mark, sender uint8, data []byte) bool {
 	flow := head.FromCaller()
-	return t.line.Contains(flow) || t.line.Add(now, waitline.Opening{
+	return t.line.Replace(flow, data, sender) || t.line.Add(now, waitline.Opening{
 		Flow: flow, Segment: data, Sender: sender, Priority: mark.Priority,
 		Arrived: now, Objective: now + mark.Budget, Deadline: now + mark.Patience,
 	})
@@ -110,16 +110,22 @@
 // Waiting returns the number of openings that wait.
 func (t *Tracker) Waiting() int { return t.line.Len() }
 
-// Withdraw removes the waiting opening of a flow.
-func (t *Tracker) Withdraw(flow segment.Flow) { t.line.Remove(flow) }
+// Withdraw removes the waiting opening of a flow if the balancer with the given number sent
+// its last copy.
+func (t *Tracker) Withdraw(flow segment.Flow, sender uint8) { t.line.Withdraw(flow, sender) }
 
 // Released returns the opening that goes to the target now, if one waits and the target has
 // room for it.
 func (t *Tracker) Released(now time.Duration) (waitline.Opening, bool) {
-	if t.line.Len() == 0 || t.leaving || t.evacuated || t.Unresponsive(now) || t.load() >= t.work.slots+prefetch || !t.warmup.Admit(now, false) {
+	if t.line.Len() == 0 || t.leaving || t.evacuated || t.Unresponsive(now) || t.warmup.Cold(now) ||
+		t.work.slots > 0 && t.load() >= t.work.slots+prefetch {
 		return waitline.Opening{}, false
 	}
-	return t.line.Next(now, t.answerTime(0))
+	o, ok := t.line.Next(now, t.answerTime(0))
+	if ok {
+		t.warmup.Admit(now, false)
+	}
+	return o, ok
 }
 
 // GivenUp removes and returns the openings that wait for nothing, with the reason: those that
@@ -135,6 +141,8 @@
 		return t.line.Clear(), Evacuated
 	case t.Unresponsive(now):
 		return t.line.Clear(), Unresponsive
+	case t.warmup.Cold(now):
+		return t.line.Clear(), WarmingUp
 	}
 	return t.line.Expired(now, t.answerTime(0)), Busy
 }
--- a/internal/occupancy/waiting_test.go
+++ b/internal/occupancy/waiting_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
 // lateMark returns the mark of an opening whose objective is over and whose caller waits for
@@ -130,3 +131,95 @@
 		}
 	}
 }
+
+// Guards against a refusal, which says that the target does not hold the flow, and against a
+// second place in the line, while the target is about to accept an earlier copy.
+func TestCopyOfADeliveredOpeningIsNotRefused(t *testing.T) {
+	c := qt.New(t)
+	for name, change := range map[string]func(*Tracker){
+		"busy": func(*Tracker) {}, "leaving": (*Tracker).RefuseOpenings, "evacuated": func(tr *Tracker) { tr.SetEvacuated(true) },
+	} {
+		tr := busyTracker(4)
+		const now = 10 * time.Second
+		tr.Delivered(now, openingAt(1), lateMark(time.Second, true), 0, nil)
+		change(tr)
+		later := openingAt(1)
+		later.Copy = 1
+		c.Check(tr.Admit(now+ms, later, lateMark(time.Second, true)), qt.Equals, Accepted, qt.Commentf(name))
+	}
+}
+
+// Guards against a copy that is returned in place of the later one which the balancer expects.
+func TestLaterCopyReplacesTheWaitingOne(t *testing.T) {
+	c := qt.New(t)
+	tr := busyTracker(4)
+	const now = 10 * time.Second
+	m := lateMark(time.Second, true)
+	c.Assert(tr.Wait(now, openingAt(1), m, 1, []byte("first copy")), qt.IsTrue)
+	c.Assert(tr.Admit(now+200*ms, openingAt(1), m), qt.Equals, Waits)
+	c.Assert(tr.Wait(now+200*ms, openingAt(1), m, 2, []byte("later copy")), qt.IsTrue)
+	c.Assert(tr.Waiting(), qt.Equals, 1)
+	tr.RefuseOpenings()
+	returned, _ := tr.GivenUp(now + 300*ms)
+	c.Assert(returned, qt.HasLen, 1)
+	c.Check(string(returned[0].Segment), qt.Equals, "later copy")
+	c.Check(returned[0].Sender, qt.Equals, uint8(2))
+	c.Check(returned[0].Deadline, qt.Equals, now+time.Second)
+}
+
+// Guards against a withdrawal by a balancer that did not send the opening.
+func TestOnlyTheSenderWithdraws(t *testing.T) {
+	c := qt.New(t)
+	tr := busyTracker(4)
+	tr.Wait(10*time.Second, openingAt(1), lateMark(time.Second, true), 1, nil)
+	tr.Withdraw(openingAt(1).FromCaller(), 2)
+	c.Check(tr.Waiting(), qt.Equals, 1)
+	tr.Withdraw(openingAt(1).FromCaller(), 1)
+	c.Check(tr.Waiting(), qt.Equals, 0)
+}
+
+// Guards against openings that wait until their deadline for a target that has become cold, and
+// against warm-up credit that is spent without an opening.
+func TestNothingWaitsForAColdTarget(t *testing.T) {
+	c := qt.New(t)
+	const now = 10 * time.Second
+	m := lateMark(time.Second, true)
+	tr := busyTracker(4)
+	tr.Wait(now, openingAt(1), m, 1, nil)
+	limiter := warmup.New(0, warmup.Tolerance{})
+	limiter.Describe(now, warmup.Description{Version: 1, Rate: 2, Born: 1, Sequence: 1, Left: time.Minute})
+	tr.SetWarmup(limiter)
+	c.Check(tr.Admit(now, openingAt(2), m), qt.Equals, Busy)
+	c.Check(tr.Quote(now, m), qt.Equals, time.Duration(0))
+	_, released := tr.Released(now)
+	c.Check(released, qt.IsFalse)
+	list, reason := tr.GivenUp(now)
+	c.Check(list, qt.HasLen, 1)
+	c.Check(reason, qt.Equals, WarmingUp)
+	c.Check(limiter.Phase().Refused, qt.Equals, uint64(0))
+}
+
+// Guards against requests that the limiter counts although no opening was released.
+func TestExpiredOpeningsAreNotCounted(t *testing.T) {
+	c := qt.New(t)
+	const now = 10 * time.Second
+	tr := busyTracker(0)
+	tr.Wait(now, openingAt(1), lateMark(100*ms, true), 1, nil)
+	_, released := tr.Released(now + 200*ms)
+	c.Check(released, qt.IsFalse)
+	limiter := tr.Warmup()
+	limiter.Describe(now+200*ms, warmup.Description{Version: 1, Rate: 2, Born: 1, Sequence: 1, Left: time.Minute})
+	credit, _ := limiter.Credit(now + 200*ms)
+	c.Check(credit, qt.Equals, 2)
+}
+
+// Guards against openings that wait for slots whose number is no longer known: others are
+// accepted at once then.
+func TestOpeningsDoNotWaitForUnknownSlots(t *testing.T) {
+	c := qt.New(t)
+	tr := busyTracker(8)
+	tr.Wait(10*time.Second, openingAt(1), lateMark(time.Second, true), 0, nil)
+	tr.SetSlots(0)
+	_, released := tr.Released(10 * time.Second)
+	c.Check(released, qt.IsTrue)
+}
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -375,7 +375,7 @@
 	case message.GetQuery() != nil:
 		a.handleQuery(message.GetQuery(), from)
 	case message.GetWithdrawal() != nil:
-		a.handleWithdrawal(message.GetWithdrawal())
+		a.handleWithdrawal(message.GetWithdrawal(), from)
 	}
 }
 
--- a/internal/segnode/line.go
+++ b/internal/segnode/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/netip"
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/occupancy"
@@ -77,8 +78,9 @@
 	a.out.message(a.link, &schema.LinkMessage{Body: &schema.LinkMessage_Waiting{Waiting: &schema.LinkWaiting{Flow: encoded[:], Identity: identity}}}, to)
 }
 
-// handleWithdrawal drops a waiting opening that another target takes.
-func (a *Agent) handleWithdrawal(m *schema.LinkWithdrawal) {
+// handleWithdrawal drops a waiting opening that another target takes. Only the balancer that
+// sent it may withdraw it.
+func (a *Agent) handleWithdrawal(m *schema.LinkWithdrawal, from netip.AddrPort) {
 	flow, ok := segment.DecodeFlow(m.Flow)
 	if !ok {
 		a.metrics.Malformed.Inc()
@@ -86,5 +88,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.tracker.Withdraw(flow)
+	if index, known := a.byHost[from.Addr()]; known {
+		a.tracker.Withdraw(flow, index)
+	}
 }
--- a/internal/waitline/waitline.go
+++ b/internal/waitline/waitline.go
@@ -200,6 +200,27 @@
 	return out
 }
 
+// Replace puts a later copy of an opening, and the number of the balancer that sent it, in the
+// place of the one that waits. It reports whether one waits. A copy for which there is no room
+// is dropped.
+func (l *Line) Replace(flow segment.Flow, data []byte, sender uint8) bool {
+	e := l.byFlow[flow]
+	if e == nil {
+		return false
+	}
+	if size := l.bytes - len(e.Segment) + len(data); size <= MaxBytes {
+		e.Segment, e.Sender, l.bytes = data, sender, size
+	}
+	return true
+}
+
+// Withdraw removes the opening of a flow if the balancer with the given number sent it.
+func (l *Line) Withdraw(flow segment.Flow, sender uint8) {
+	if e := l.byFlow[flow]; e != nil && e.Sender == sender {
+		l.take(e)
+	}
+}
+
 // Remove removes the opening of a flow and reports whether it waited.
 func (l *Line) Remove(flow segment.Flow) (Opening, bool) {
 	e := l.byFlow[flow]
