Waiting openings: balancer side after a review

Causes, each shown by a test that failed before: - While the agent of a waiting opening reported any line, all copies were dropped, also if the opening had been released and its acceptance was lost, or a withdrawal had removed it. Copies go to that agent now, which knows what became of it. - An opening that its agent had returned still counted as waiting there. - A reset could hit an open flow: while the opening waited, its caller may have sent the next copy through another balancer, whose target accepted it. After leave to wait there is no reset later than 150 ms after the last copy seen here. Resets of openings that never waited are unchanged. - A balancer that restarted while an opening waited reset it without knowing of its copies; an opening without a record is never reset now.

TestCopyOfAWaitingOpening asserted that the copy is dropped, which was the first fault; it now asserts that it goes to the one agent with leave to wait, and to no other target, which is as strict on its subject.

Ruled out: endless returns between balancer and agent. Leave to wait is renewed only by a return for another reason than load, and excluded targets stay excluded except the quoted one, which is forgotten by each use.

--- a/internal/steering/engine.go
+++ b/internal/steering/engine.go
@@ -138,7 +138,7 @@
 	// WarmingUp: the targets that may take the opening are cold, and their warm-up leaves no
 	// credit.
 	WarmingUp
-	// Waiting: the opening waits at an agent.
+	// Waiting: the opening waits at an agent, which gets its further copies.
 	Waiting
 	reasonCount
 )
--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -24,11 +24,14 @@
 		// The network duplicated the segment, or the caller uses the port again.
 		return e.forwardOpening(now, Opened, flow, route, r.target, head)
 	}
+	if s := e.searches[flow]; s != nil {
+		s.copyAt = now
+	}
 	if !known && head.Copy == 0 && e.shouldDivert(now, flow) {
 		return Verdict{Action: Reset, Reason: Diverted, Flow: flow}
 	}
 	if route.Timeout > 0 && head.Age >= route.Timeout {
-		return e.refuseOpening(flow, r, Expired)
+		return e.refuseOpening(now, flow, r, Expired)
 	}
 	service := route.Service(flow.Hash())
 	if now-e.viewSince < firstReportTimeout && !e.anyReported(service) {
@@ -39,12 +42,12 @@
 		if !e.confirmed {
 			return Verdict{Reason: Evacuated, Flow: flow}
 		}
-		return e.refuseOpening(flow, r, Evacuated)
+		return e.refuseOpening(now, flow, r, Evacuated)
 	}
 	var withdraw *Target
 	if r.waits && r.target.holdsWaiting(now) {
 		if t == nil || !t.hasFreeSlot() {
-			return Verdict{Reason: Waiting, Flow: flow}
+			return e.forwardWaiting(now, flow, route, head, r)
 		}
 		withdraw = r.target
 	}
@@ -94,12 +97,14 @@
 
 // refuseOpening ends an opening that cannot be served. The caller gets a reset, which
 // says that its request has not run, unless a target that got a copy of the opening has
-// not returned it: that target may have accepted the flow. Nothing is kept of a flow that
+// not returned it: that target may have accepted the flow. After an opening has waited, a
+// target may also have got the caller's next copy through another balancer. Nothing is kept of a flow that
 // is reset, so that a storm of refusals does not fill the tables.
-func (e *Engine) refuseOpening(flow segment.Flow, r record, reason Reason) Verdict {
+func (e *Engine) refuseOpening(now time.Duration, flow segment.Flow, r record, reason Reason) Verdict {
 	s := e.searches[flow]
 	outstanding := func(t *Target) bool { return t != nil && !(s != nil && s.excludes(t)) }
-	if r.forgotten || outstanding(r.target) || outstanding(r.previous) {
+	copied := s != nil && s.waited && now-s.copyAt >= resetWindow
+	if r.forgotten || copied || outstanding(r.target) || outstanding(r.previous) {
 		return Verdict{Reason: reason, Flow: flow}
 	}
 	e.records.Delete(flow)
@@ -178,12 +183,20 @@
 			s.mayWait, s.busyReturns = false, 0
 		}
 	}
-	r, _ := e.records.Get(flow)
+	r, known := e.records.Get(flow)
+	if !known {
+		// It was sent before this balancer started.
+		r.forgotten = true
+	}
 	if head.Copy+1 < r.openings && r.target.onHost(from) {
 		// The target has a later copy too and decides on that one.
 		s.include(r.target)
 		return Verdict{Reason: Retried, Flow: flow}
 	}
+	if r.waits && r.target.onHost(from) {
+		r.waits = false
+		e.records.Put(flow, r)
+	}
 	if s.busyReturns >= e.policy.MaxBusyReturns {
 		return e.letWait(now, flow, route, head, s, r, Overloaded)
 	}
@@ -192,7 +205,7 @@
 		return e.letWait(now, flow, route, head, s, r, Refused)
 	}
 	if !t.hasCredit(now) {
-		return e.awaitWarmup(flow, r, head)
+		return e.awaitWarmup(now, flow, r, head)
 	}
 	v := e.forwardOpening(now, Retried, flow, route, t, head)
 	if s.busyReturns >= trustedBusyReturns && e.policy.TrustReports && e.expectsRefusal(now, t, &v) {
--- a/internal/steering/search.go
+++ b/internal/steering/search.go
@@ -44,8 +44,11 @@
 	// it because of their load, and quote the time in which it does.
 	quoted *Target
 	quote  time.Duration
-	// mayWait is set once the opening was given leave to wait.
-	mayWait bool
+	// mayWait is set once the opening was given leave to wait, until its agent gives up all
+	// openings that wait; waited stays set.
+	mayWait, waited bool
+	// copyAt is the time of the last copy of the opening.
+	copyAt time.Duration
 	// excluded hosts returned a segment, or their agents sent a negative reply.
 	excluded []netip.Addr
 }
@@ -85,7 +88,7 @@
 		if len(e.searches) >= maxSearches {
 			return nil
 		}
-		s = &search{started: now}
+		s = &search{started: now, copyAt: now}
 		e.searches[flow] = s
 	}
 	s.lastUsed = now
--- a/internal/steering/waiting.go
+++ b/internal/steering/waiting.go
@@ -7,9 +7,14 @@
 	"github.com/peridotstall/peridotstall/internal/segment"
 )
 
-// maxWaitingReportAge is the age of the last report above which a waiting opening is taken
-// for lost with its agent: two intervals of reports, and a late one.
-const maxWaitingReportAge = 450 * time.Millisecond
+const (
+	// maxWaitingReportAge is the age of the last report above which a waiting opening is
+	// taken for lost with its agent: two intervals of reports, and a late one.
+	maxWaitingReportAge = 450 * time.Millisecond
+	// resetWindow is the time after a copy of an opening in which its caller has not sent
+	// the next one: the shortest retransmission interval of 200 ms less the delay of links.
+	resetWindow = 150 * time.Millisecond
+)
 
 // addQuote records the time in which a target that refused an opening expects to answer it;
 // 0 is none.
@@ -26,15 +31,28 @@
 func (e *Engine) letWait(now time.Duration, flow segment.Flow, route *registry.Route, head segment.Head, s *search, r record, reason Reason) Verdict {
 	t := s.quoted
 	if !e.policy.Wait || s.mayWait || t == nil || !t.acceptsFlows() || e.shouldAvoid(now, t) || s.quote > patience(route, head) {
-		return e.refuseOpening(flow, r, reason)
+		return e.refuseOpening(now, flow, r, reason)
 	}
-	s.mayWait, s.quoted = true, nil
+	s.mayWait, s.waited, s.quoted = true, true, nil
 	s.readmit(t)
 	v := e.forwardOpening(now, Retried, flow, route, t, head)
 	v.MayWait = true
 	return e.retryOpening(v, flow, head, s, r, t)
 }
 
+// forwardWaiting sends a copy of a waiting opening to the agent at which it waits. The agent
+// knows whether it still does; the acceptance may be lost.
+func (e *Engine) forwardWaiting(now time.Duration, flow segment.Flow, route *registry.Route, head segment.Head, r record) Verdict {
+	r.openings = max(r.openings, head.Copy+1)
+	e.records.Put(flow, r)
+	if s := e.searches[flow]; s != nil {
+		s.include(r.target)
+	}
+	v := e.forwardOpening(now, Waiting, flow, route, r.target, head)
+	v.MayWait = true
+	return v
+}
+
 // SetWaiting records that an opening waits at the agent of a target.
 func (e *Engine) SetWaiting(flow segment.Flow, t *Target) {
 	if r, known := e.records.Get(flow); known && r.target == t {
--- a/internal/steering/waiting_test.go
+++ b/internal/steering/waiting_test.go
@@ -96,8 +96,12 @@
 func TestCopyOfAWaitingOpening(t *testing.T) {
 	f, at := waitingFixture(t)
 	v := f.engine.Segment(f.now, opening(1, 1))
-	f.c.Check(v.Action, qt.Equals, Drop)
+	f.c.Assert(v.Action, qt.Equals, Forward)
 	f.c.Check(v.Reason, qt.Equals, Waiting)
+	f.c.Assert(v.Targets(), qt.HasLen, 1)
+	f.c.Check(v.Targets()[0], qt.Equals, at)
+	f.c.Check(v.MayWait, qt.IsTrue)
+	f.c.Check(v.Withdraw, qt.IsNil)
 	// A slot gets free elsewhere: the opening goes there and leaves the line.
 	for _, t := range f.engine.View().Targets() {
 		if t != at {
@@ -139,3 +143,60 @@
 	v = f.returnOpening(v, head, false)
 	f.c.Check(v.Action, qt.Equals, Forward)
 }
+
+// Guards against an opening whose copies are dropped for as long as its former target has any
+// line, after that target returned it while another one may hold the flow.
+func TestReturnedOpeningNoLongerWaits(t *testing.T) {
+	f, at := waitingFixture(t)
+	head := opening(1, 0)
+	r, _ := f.engine.records.Get(head.FromCaller())
+	r.forgotten = true
+	f.engine.records.Put(head.FromCaller(), r)
+	s := f.engine.searchFor(f.now, head.FromCaller())
+	s.mayWait, s.busyReturns = true, maxBusyReturns
+	head.Returned, head.Mark = true, segment.Mark{Tag: at.Tag, Busy: true}.Pack()
+	v := f.engine.Returned(f.now, at.Agent.Addr(), head)
+	f.c.Assert(v.Action, qt.Equals, Drop)
+	v = f.engine.Segment(f.now, opening(1, 1))
+	f.c.Assert(v.Action, qt.Equals, Forward)
+	f.c.Check(v.Targets()[0], qt.Not(qt.Equals), at)
+	f.c.Check(v.Reason, qt.Equals, Repeated)
+}
+
+// Guards against a reset of a flow that is open: while the opening waited, the caller sent its
+// next copy, which may have gone through another balancer to a target that accepted it.
+func TestNoResetAfterTheNextCopyWasDue(t *testing.T) {
+	for _, waited := range []time.Duration{resetWindow / 2, resetWindow} {
+		f := newFixture(t, 20)
+		f.setPatientRoute()
+		head := opening(1, 0)
+		v := f.engine.Segment(f.now, head)
+		for range maxBusyReturns {
+			v = f.refuse(v, head, 90*time.Millisecond)
+		}
+		f.c.Assert(v.MayWait, qt.IsTrue)
+		f.now += waited
+		v = f.refuse(v, head, 0)
+		f.c.Check(v.Action == Reset, qt.Equals, waited < resetWindow, qt.Commentf("%s", waited))
+		// Once that copy is seen here, it decides.
+		v = f.engine.Segment(f.now, opening(1, 1))
+		for v.Action == Forward {
+			v = f.refuse(v, opening(1, 1), 0)
+		}
+		f.c.Check(v.Action, qt.Equals, Reset)
+	}
+}
+
+// Guards against a reset of a flow that is open by a balancer that has restarted while the
+// opening waited: it does not know which targets got copies.
+func TestNoResetOfAnUnknownOpening(t *testing.T) {
+	f := newFixture(t, 2)
+	f.setPatientRoute()
+	head := opening(1, 0)
+	head.Returned, head.Mark = true, segment.Mark{Busy: true}.Pack()
+	v := Verdict{Action: Forward}
+	for _, target := range f.engine.View().Targets() {
+		v = f.engine.Returned(f.now, target.Agent.Addr(), head)
+	}
+	f.c.Check(v.Action, qt.Equals, Drop)
+}
--- a/internal/steering/warmup.go
+++ b/internal/steering/warmup.go
@@ -111,9 +111,9 @@
 // awaitWarmup decides on an opening that only cold targets without credit may take. The
 // first copy waits for credit until the caller sends the next one, for which it is refused:
 // an earlier reset would use up the caller's tries within milliseconds.
-func (e *Engine) awaitWarmup(flow segment.Flow, r record, head segment.Head) Verdict {
+func (e *Engine) awaitWarmup(now time.Duration, flow segment.Flow, r record, head segment.Head) Verdict {
 	if head.Copy == 0 {
 		return Verdict{Reason: WarmingUp, Flow: flow}
 	}
-	return e.refuseOpening(flow, r, WarmingUp)
+	return e.refuseOpening(now, flow, r, WarmingUp)
 }
