Agent: return the line when it stops or serves another service

Reconfigure dropped the tracker with its waiting openings, and an agent that had no time to stop ended with them: they were neither delivered nor returned, and their callers lost the time to their next copy. Both return them at once now. Two tests on a loopback socket, without the agent's tasks, failed before by their read timeout.

--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -18,6 +18,7 @@
 	"github.com/peridotstall/peridotstall/internal/schema"
 	"github.com/peridotstall/peridotstall/internal/segment"
 	"github.com/peridotstall/peridotstall/internal/telemetry"
+	"github.com/peridotstall/peridotstall/internal/waitline"
 	"github.com/peridotstall/peridotstall/internal/warmup"
 )
 
@@ -497,11 +498,14 @@
 }
 
 // Reconfigure applies changed settings. A changed service name means another
-// target, so the state of all flows is dropped.
+// target, so the state of all flows is dropped and openings that wait are returned.
 func (a *Agent) Reconfigure(service string, backend netip.AddrPort) {
+	now := a.clock.now()
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	var waited []waitline.Opening
 	if a.options.Service != service {
+		a.tracker.RefuseOpenings()
+		waited, _ = a.tracker.GivenUp(now)
 		a.tracker = occupancy.New(service)
 		a.tracker.SetWarmup(warmup.New(a.clock.now(), a.options.WarmupTolerance))
 		a.coverage = occupancy.NewCoverage(a.clock.now(), time.Now().UnixMilli())
@@ -509,6 +513,8 @@
 	}
 	a.options.Service = service
 	a.backend.Store(&backend)
+	a.mu.Unlock()
+	a.returnOpenings(now, waited, occupancy.WrongService, openingLoad{})
 }
 
 // Stop stops the agent. It first reports that it is leaving and waits for
@@ -521,8 +527,10 @@
 	a.tracker.RefuseOpenings()
 	a.leaving = true
 	a.urgent = true
-	a.mu.Unlock()
 	start := a.clock.now()
+	waited, reason := a.tracker.GivenUp(start)
+	a.mu.Unlock()
+	a.returnOpenings(start, waited, reason, openingLoad{})
 	waitWhile(ctx, a.clock, func(now time.Duration) bool { return now-start < stopDelay || a.pending() > 0 })
 	a.close()
 	a.group.Wait()
