steering: test that routes without patience get the same verdicts

The decisions with and without openings that wait are compared, target by target and mark by mark, on routes without an objective and with a timeout equal to it, for first and third copies.

--- a/internal/steering/waiting_test.go
+++ b/internal/steering/waiting_test.go
@@ -200,3 +200,33 @@
 	}
 	f.c.Check(v.Action, qt.Equals, Drop)
 }
+
+// Guards against a route without a timeout beyond its objective that is served otherwise than
+// without openings that wait.
+func TestWithoutPatienceNothingChanges(t *testing.T) {
+	for _, aim := range []time.Duration{0, 2 * time.Second} {
+		f, plain := newFixture(t, 20), newFixture(t, 20)
+		plain.engine.policy.Wait = false
+		for _, f := range []*fixture{f, plain} {
+			r := routes(2, "web")
+			r.Routes[0].Aim, r.Routes[0].Timeout = aim, aim
+			f.setView(r, 1)
+		}
+		for port := range 50 {
+			for _, age := range []time.Duration{0, 600 * time.Millisecond} {
+				head := opening(port, uint32(age/(300*time.Millisecond)))
+				head.Age, head.Patience = age, time.Second
+				v, want := f.engine.Segment(f.now, head), plain.engine.Segment(plain.now, head)
+				for v.Action == Forward && want.Action == Forward {
+					to := v.Targets()[0]
+					f.c.Assert(to.Agent, qt.Equals, want.Targets()[0].Agent)
+					f.c.Assert(v.Mark(to), qt.Equals, want.Mark(want.Targets()[0]))
+					f.now, plain.now = f.now+time.Millisecond, plain.now+time.Millisecond
+					v, want = f.refuse(v, head, 50*time.Millisecond), plain.refuse(want, head, 50*time.Millisecond)
+				}
+				f.c.Assert(v.Action, qt.Equals, want.Action)
+				f.c.Assert(v.Reason, qt.Equals, want.Reason)
+			}
+		}
+	}
+}
