--- a/internal/occupancy/bench_test.go
+++ b/internal/occupancy/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/peridotstall/peridotstall/internal/segment"
+	"github.com/peridotstall/peridotstall/internal/waitline"
 )
 
 // BenchmarkAdmit measures the decision on an opening at a busy target, with idle flows in the
@@ -57,3 +58,29 @@
 		Destination: segment.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}, Opening: true,
 	}
 }
+
+// BenchmarkAdmitWaiting measures the decision on an opening that joins the line of a busy
+// target, and its end. One op is one opening.
+func BenchmarkAdmitWaiting(b *testing.B) {
+	const now = 10 * time.Second
+	for _, waiting := range []int{10, 1000, waitline.MaxOpenings - 1} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			tracker := busyTracker(5)
+			mark := lateMark(time.Minute, true)
+			for i := range waiting {
+				if !tracker.Wait(now, benchOpening(i), mark, 0, nil) {
+					b.Fatal("no room")
+				}
+			}
+			joins := benchOpening(waiting)
+			b.ReportAllocs()
+			for b.Loop() {
+				if tracker.Admit(now, joins, mark) != Waits || !tracker.Wait(now, joins, mark, 0, nil) {
+					b.Fatal("the opening does not wait")
+				}
+				tracker.Withdraw(joins.FromCaller(), 0)
+				tracker.demand = rate{}
+			}
+		})
+	}
+}
