--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -103,7 +103,7 @@
 func (e *Engine) refuseOpening(now time.Duration, flow segment.Flow, r record, reason Reason) Verdict {
 	s := e.searches[flow]
 	outstanding := func(t *Target) bool { return t != nil && !(s != nil && s.excludes(t)) }
-	copied := s != nil && s.waited && now-s.copyAt >= resetWindow
+	copied := s != nil && s.waited && now-s.copyAt >= resetWindow(max(r.openings, 1)-1)
 	if r.forgotten || copied || outstanding(r.target) || outstanding(r.previous) {
 		return Verdict{Reason: reason, Flow: flow}
 	}
--- a/internal/steering/waiting.go
+++ b/internal/steering/waiting.go
@@ -11,11 +11,20 @@
 	// maxWaitingReportAge is the age of the last report above which a waiting opening is
 	// taken for lost with its agent: two intervals of reports, and a late one.
 	maxWaitingReportAge = 450 * time.Millisecond
-	// resetWindow is the time after a copy of an opening in which its caller has not sent
-	// the next one: the shortest retransmission interval of 200 ms less the delay of links.
-	resetWindow = 150 * time.Millisecond
+	// copyInterval is the time after which a caller sends the first retransmission of an
+	// opening. Each further one takes twice as long, up to maxDoublings times.
+	copyInterval = 200 * time.Millisecond
+	maxDoublings = 3
+	// copyMargin bounds the delays of links between a caller and a target.
+	copyMargin = 50 * time.Millisecond
 )
 
+// resetWindow returns the time after a copy of an opening in which no target has got the next
+// one.
+func resetWindow(copyNumber uint32) time.Duration {
+	return copyInterval<<min(copyNumber, maxDoublings) - copyMargin
+}
+
 // addQuote records the time in which a target that refused an opening expects to answer it;
 // 0 is none.
 func (s *search) addQuote(t *Target, quote time.Duration) {
