--- a/internal/steering/waiting_test.go
+++ b/internal/steering/waiting_test.go
@@ -96,8 +96,12 @@
 func TestCopyOfAWaitingOpening(t *testing.T) {
 	f, at := waitingFixture(t)
 	v := f.engine.Segment(f.now, opening(1, 1))
-	f.c.Check(v.Action, qt.Equals, Drop)
+	f.c.Assert(v.Action, qt.Equals, Forward)
 	f.c.Check(v.Reason, qt.Equals, Waiting)
+	f.c.Assert(v.Targets(), qt.HasLen, 1)
+	f.c.Check(v.Targets()[0], qt.Equals, at)
+	f.c.Check(v.MayWait, qt.IsTrue)
+	f.c.Check(v.Withdraw, qt.IsNil)
 	// A slot gets free elsewhere: the opening goes there and leaves the line.
 	for _, t := range f.engine.View().Targets() {
 		if t != at {
@@ -139,3 +143,90 @@
 	v = f.returnOpening(v, head, false)
 	f.c.Check(v.Action, qt.Equals, Forward)
 }
+
+// Guards against an opening whose copies are dropped for as long as its former target has any
+// line, after that target returned it while another one may hold the flow.
+func TestReturnedOpeningNoLongerWaits(t *testing.T) {
+	f, at := waitingFixture(t)
+	head := opening(1, 0)
+	r, _ := f.engine.records.Get(head.FromCaller())
+	r.forgotten = true
+	f.engine.records.Put(head.FromCaller(), r)
+	s := f.engine.searchFor(f.now, head.FromCaller())
+	s.mayWait, s.busyReturns = true, maxBusyReturns
+	head.Returned, head.Mark = true, segment.Mark{Tag: at.Tag, Busy: true}.Pack()
+	v := f.engine.Returned(f.now, at.Agent.Addr(), head)
+	f.c.Assert(v.Action, qt.Equals, Drop)
+	v = f.engine.Segment(f.now, opening(1, 1))
+	f.c.Assert(v.Action, qt.Equals, Forward)
+	f.c.Check(v.Targets()[0], qt.Not(qt.Equals), at)
+	f.c.Check(v.Reason, qt.Equals, Repeated)
+}
+
+// Guards against a reset of a flow that is open: while the opening waited, the caller sent its
+// next copy, which may have gone through another balancer to a target that accepted it.
+func TestNoResetAfterTheNextCopyWasDue(t *testing.T) {
+	for _, waited := range []time.Duration{100 * time.Millisecond, 150 * time.Millisecond} {
+		f := newFixture(t, 20)
+		f.setPatientRoute()
+		head := opening(1, 0)
+		v := f.engine.Segment(f.now, head)
+		for range maxBusyReturns {
+			v = f.refuse(v, head, 90*time.Millisecond)
+		}
+		f.c.Assert(v.MayWait, qt.IsTrue)
+		f.now += waited
+		v = f.refuse(v, head, 0)
+		f.c.Check(v.Action == Reset, qt.Equals, waited < 150*time.Millisecond, qt.Commentf("%s", waited))
+		// Once that copy is seen here, it decides.
+		v = f.engine.Segment(f.now, opening(1, 1))
+		for v.Action == Forward {
+			v = f.refuse(v, opening(1, 1), 0)
+		}
+		f.c.Check(v.Action, qt.Equals, Reset)
+	}
+}
+
+// Guards against a reset of a flow that is open by a balancer that has restarted while the
+// opening waited: it does not know which targets got copies.
+func TestNoResetOfAnUnknownOpening(t *testing.T) {
+	f := newFixture(t, 2)
+	f.setPatientRoute()
+	head := opening(1, 0)
+	head.Returned, head.Mark = true, segment.Mark{Busy: true}.Pack()
+	v := Verdict{Action: Forward}
+	for _, target := range f.engine.View().Targets() {
+		v = f.engine.Returned(f.now, target.Agent.Addr(), head)
+	}
+	f.c.Check(v.Action, qt.Equals, Drop)
+}
+
+// Guards against a route without a timeout beyond its objective that is served otherwise than
+// without openings that wait.
+func TestWithoutPatienceNothingChanges(t *testing.T) {
+	for _, aim := range []time.Duration{0, 2 * time.Second} {
+		f, plain := newFixture(t, 20), newFixture(t, 20)
+		plain.engine.policy.Wait = false
+		for _, f := range []*fixture{f, plain} {
+			r := routes(2, "web")
+			r.Routes[0].Aim, r.Routes[0].Timeout = aim, aim
+			f.setView(r, 1)
+		}
+		for port := range 50 {
+			for _, age := range []time.Duration{0, 600 * time.Millisecond} {
+				head := opening(port, uint32(age/(300*time.Millisecond)))
+				head.Age, head.Patience = age, time.Second
+				v, want := f.engine.Segment(f.now, head), plain.engine.Segment(plain.now, head)
+				for v.Action == Forward && want.Action == Forward {
+					to := v.Targets()[0]
+					f.c.Assert(to.Agent, qt.Equals, want.Targets()[0].Agent)
+					f.c.Assert(v.Mark(to), qt.Equals, want.Mark(want.Targets()[0]))
+					f.now, plain.now = f.now+time.Millisecond, plain.now+time.Millisecond
+					v, want = f.refuse(v, head, 50*time.Millisecond), plain.refuse(want, head, 50*time.Millisecond)
+				}
+				f.c.Assert(v.Action, qt.Equals, want.Action)
+				f.c.Assert(v.Reason, qt.Equals, want.Reason)
+			}
+		}
+	}
+}
