Agent: release waiting openings as slots get free, not all at once

An opening counted as pending only once its target had accepted it. The agent released openings in a loop without such an answer in between, so that the first slot that got free sent the whole line to the target: in the new test 20 of 20 openings in place of 1. They then waited in the target's own queue, without order or deadline. Opening counts now from its release, and expires like an accepted one if the target does not accept.

Not seen before because the load model and the earlier test let the target accept each opening before the next is released; the load model does not call the new method.

--- a/internal/occupancy/waiting.go
+++ b/internal/occupancy/waiting.go
@@ -128,6 +128,21 @@
 	return o, ok
 }
 
+// DeliveredFromLine records that an opening that waited goes to the target. It counts as
+// pending at once, because further ones are released before the target accepts it.
+func (t *Tracker) DeliveredFromLine(now time.Duration, head segment.Head, mark segment.Mark, sender uint8) {
+	t.Delivered(now, head, mark, sender, nil)
+	flow := head.FromCaller()
+	s, known := t.flows.Get(flow)
+	if !known || s.pending() || s.arriving {
+		return
+	}
+	before := s
+	s.opening = true
+	t.openings = append(t.openings, flowAt{flow, now})
+	t.update(now, flow, before, s)
+}
+
 // GivenUp removes and returns the openings that wait for nothing, with the reason: those that
 // cannot be answered within their patience any more, and all while the target cannot take
 // any.
--- a/internal/occupancy/waiting_test.go
+++ b/internal/occupancy/waiting_test.go
@@ -223,3 +223,25 @@
 	_, released := tr.Released(10 * time.Second)
 	c.Check(released, qt.IsTrue)
 }
+
+// Guards against a line that goes to the target as a whole when a slot gets free, before the
+// target has accepted the first of its openings.
+func TestReleasedOpeningsCountBeforeTheyAreAccepted(t *testing.T) {
+	c := qt.New(t)
+	tr := busyTracker(4)
+	now := 10 * time.Second
+	for port := range uint16(20) {
+		tr.Wait(now, openingAt(port), lateMark(time.Second, true), 0, nil)
+	}
+	released := 0
+	for o, ok := tr.Released(now); ok; o, ok = tr.Released(now) {
+		tr.DeliveredFromLine(now, segment.Head{Source: o.Flow.Caller, Destination: o.Flow.Service, Opening: true}, mark, 0)
+		released++
+	}
+	c.Check(released, qt.Equals, prefetch)
+	c.Check(tr.Pending(), qt.Equals, 4+prefetch)
+	// One that the target does not accept gives its place back.
+	now += openingTTL
+	tr.Tick(now)
+	c.Check(tr.Pending() <= 4, qt.IsTrue)
+}
--- a/internal/segnode/line.go
+++ b/internal/segnode/line.go
@@ -32,7 +32,7 @@
 			return released
 		}
 		if head, ok := a.options.Codec.Parse(o.Segment); ok {
-			a.tracker.Delivered(now, head, segment.Unpack(head.Mark), o.Sender, nil)
+			a.tracker.DeliveredFromLine(now, head, segment.Unpack(head.Mark), o.Sender)
 			a.metrics.OpeningWait.Record(now - o.Arrived)
 			released = append(released, o)
 		}
