Peers: bound what digests add, and the contact age they state

Cause: a digest is believed from any host. A contact age near the range of a time.Duration put the last contact before that range; its age became negative a millisecond later, and the state counted as confirmed without a store. Each listed address was added and sent digests for a minute, without a bound on their number and also if no balancer can have it.

Ruled out: clamping the age, which would hide a fault of the peer; evicting senders that are heard, which would let a flood take the place of balancers.

Change: 1024 senders and 256 addresses that were only listed, besides seeds; 64 addresses of a digest; an age above a year counts as none; the delay by rank ends at 3 s. Five tests, each failed before.

--- /dev/null
+++ b/internal/peers/hostile_test.go
@@ -0,0 +1,94 @@
+package peers
+
+import (
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// listed returns n addresses from 172.16.0.0 on.
+func listed(n int) []netip.AddrPort {
+	out := make([]netip.AddrPort, n)
+	for i := range out {
+		out[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{172, 16, byte(i >> 8), byte(i)}), 7000)
+	}
+	return out
+}
+
+// Guards against a contact age so large that its time lies before the range of a time.Duration: the
+// age became negative after a millisecond, and the state counted as confirmed without a store.
+func TestHugeContactAgeConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	for _, age := range []time.Duration{math.MaxInt64, math.MaxInt64 - time.Millisecond, maxClaimedAge + 1, -1, -time.Hour} {
+		s := New(0, Self{Address: address(0)}, nil)
+		s.Receive(time.Minute, address(1), Digest{Targets: at(1, 9), Evacuations: at(1, 9), ContactAge: age})
+		c.Check(s.ContactAge(2*time.Minute), qt.Equals, Never, qt.Commentf("%v", age))
+		c.Check(s.Fresh(2*time.Minute), qt.IsFalse, qt.Commentf("%v", age))
+	}
+}
+
+// Guards against memory and digests to other hosts that grow with the addresses that digests list.
+func TestListedAddressesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	seeds := []netip.AddrPort{address(1), address(2)}
+	s := New(0, Self{Address: address(0)}, seeds)
+	addresses := listed(5000)
+	s.Receive(0, address(3), Digest{Peers: addresses})
+	c.Check(len(s.Due(2*time.Second, false)) <= maxIntroducedPeers+len(seeds)+1, qt.IsTrue)
+	for i := 0; i < len(addresses); i += maxIntroducedPeers {
+		s.Receive(0, address(4+i/maxIntroducedPeers), Digest{Peers: addresses[i:min(i+maxIntroducedPeers, len(addresses))]})
+	}
+	c.Check(len(s.peers) <= maxUnheard+len(seeds)+2+len(addresses)/maxIntroducedPeers, qt.IsTrue, qt.Commentf("%d", len(s.peers)))
+	// A balancer that is heard has a place all the same.
+	c.Check(s.Receive(0, address(300), Digest{}), qt.IsTrue)
+	c.Check(s.Live(0), qt.Contains, address(300))
+}
+
+// Guards against listed addresses that cannot be a balancer's.
+func TestListedAddressesAreChecked(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	var invalid []netip.AddrPort
+	for _, text := range []string{"10.0.0.9:0", "0.0.0.0:7000", "255.255.255.255:7000", "224.0.0.1:7000", "[2001:db8::1]:7000", "[::ffff:10.0.0.9]:7000"} {
+		invalid = append(invalid, netip.MustParseAddrPort(text))
+	}
+	s.Receive(0, address(1), Digest{Peers: append(invalid, netip.AddrPort{}, address(0))})
+	c.Check(s.peers, qt.HasLen, 1)
+}
+
+// Guards against memory that grows with the number of senders of digests. Seeds are heard all the
+// same, and so are further balancers once the others are silent.
+func TestSendersAreBounded(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, []netip.AddrPort{address(1)})
+	for _, from := range listed(3 * maxPeers) {
+		s.Receive(0, from, Digest{})
+	}
+	c.Check(len(s.peers) <= maxPeers+1, qt.IsTrue, qt.Commentf("%d", len(s.peers)))
+	c.Check(s.Receive(0, address(1), Digest{}), qt.IsTrue)
+	c.Check(s.Receive(0, address(2), Digest{}), qt.IsFalse)
+	now := silentTTL + time.Minute
+	for range 2 {
+		now += 2 * silentInterval
+		s.Due(now, false)
+	}
+	c.Check(s.Receive(now, address(2), Digest{}), qt.IsTrue)
+}
+
+// Guards against a store that nobody reads because many senders of digests come first in the order
+// of readers and do not read.
+func TestManySendersDoNotDelayTheReader(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	s.StoreResponded(0)
+	s.StopReading()
+	now := maxContactAge + maxRankDelay + 2*DigestInterval
+	for _, from := range listed(maxPeers) {
+		s.Receive(now, from, Digest{ContactAge: Never})
+	}
+	s.Due(now, false)
+	c.Check(s.ShouldRead(now), qt.IsTrue)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -50,6 +50,15 @@
 	// maxDigestPeers bounds the addresses in a digest, maxIntroducedPeers those in the
 	// first digest to a peer.
 	maxDigestPeers, maxIntroducedPeers = 4, 64
+	// maxPeers bounds the addresses that have sent a digest, maxUnheard those that were only
+	// listed in one and get digests until they answer. Seeds come in addition.
+	maxPeers, maxUnheard = 1024, 256
+	// maxRankDelay bounds the delay by rank. The balancers that come first and are dead
+	// count as lost after peerTimeout.
+	maxRankDelay = 3 * time.Second
+	// maxClaimedAge is the highest contact age that a peer may state: longer than a process
+	// runs without its store, and far below the range of a time.Duration.
+	maxClaimedAge = 365 * 24 * time.Hour
 )
 
 // Digest is the state that a balancer sends to its peers.
@@ -168,18 +177,43 @@
 		p.seed = false
 	}
 	for _, seed := range seeds {
-		if p := s.add(now, seed); p != nil {
+		if p := s.add(now, seed, func() bool { return true }); p != nil {
 			p.seed = true
 		}
 	}
 }
 
-func (s *Set) add(now time.Duration, address netip.AddrPort) *peer {
+// count returns the number of peers, without seeds, that have sent a digest, or that have not.
+func (s *Set) count(seen bool) (n int) {
+	for _, p := range s.peers {
+		if !p.seed && p.seen == seen {
+			n++
+		}
+	}
+	return n
+}
+
+// addListed adds an address that a digest lists, if it can be a balancer's and there is room.
+func (s *Set) addListed(now time.Duration, address netip.AddrPort) {
+	if a := address.Addr(); !a.Is4() || a.IsUnspecified() || a.IsMulticast() || a == broadcast || address.Port() == 0 {
+		return
+	}
+	s.add(now, address, func() bool { return s.count(false) < maxUnheard })
+}
+
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// add returns the peer with an address, which it adds if it is not known. It returns nil for the
+// own address and if there is no room.
+func (s *Set) add(now time.Duration, address netip.AddrPort, hasRoom func() bool) *peer {
 	if address == s.address || !address.IsValid() {
 		return nil
 	}
 	p := s.peers[address]
 	if p == nil {
+		if !hasRoom() {
+			return nil
+		}
 		p = &peer{rank: readerRank(address), added: now, lastSent: now - silentInterval}
 		p.phase = time.Duration((p.rank ^ bits.RotateLeft64(s.rank, 32)) % uint64(maxPhase))
 		s.peers[address] = p
@@ -188,20 +222,26 @@
 }
 
 // Receive records a digest of a peer. It reports whether the peer is new,
-// restarted or was lost.
+// restarted or was lost. It drops digests of further peers while maxPeers are known, addresses
+// above maxIntroducedPeers, and a contact age that is out of range.
 func (s *Set) Receive(now time.Duration, from netip.AddrPort, d Digest) bool {
-	p := s.add(now, from)
-	if p == nil {
+	p := s.add(now, from, func() bool { return s.count(true) < maxPeers })
+	if p == nil || !p.seen && !p.seed && s.count(true) >= maxPeers {
 		return false
 	}
+	d.Peers = d.Peers[:min(len(d.Peers), maxIntroducedPeers)]
+	if d.ContactAge < 0 || d.ContactAge > maxClaimedAge {
+		d.ContactAge = Never
+	}
 	fresh := !p.seen || p.digest.Incarnation != d.Incarnation || now-p.lastSeen > timeoutIntervals*s.interval(p)
 	p.digest, p.lastSeen, p.seen, p.reportedLost = d, now, true, false
 	if fresh {
 		p.slot = (now + p.phase) / s.interval(p)
 	}
 	for _, address := range d.Peers {
-		s.add(now, address)
+		s.addListed(now, address)
 	}
+	p.digest.Peers = nil
 	if d.ContactAge != Never && !s.isOutdated(p) {
 		s.updateContact(now - d.ContactAge)
 	}
@@ -452,7 +492,7 @@
 		// peers would delay all of them.
 		return true
 	}
-	limit := maxContactAge + time.Duration(rank)*rankDelay
+	limit := maxContactAge + min(time.Duration(rank)*rankDelay, maxRankDelay)
 	if max(s.local, s.remote) > groupFanout {
 		// The age takes one more hop to those that the reader sends no digest in each
 		// interval.
