Balancer: a digest that states what a pull does not bear out is not believed

Cause: a digest with a far future version, from any host, made a balancer pull at each tick and each digest, as the answer was no error and the peer stayed newer; while it did, no flow counted as lost. A peer that answers no pull but comes first in the order was asked again after each of its digests, before those that have the newer state. A peer that always states to retain something had its table pulled once a digest. A zone of any length was kept.

Ruled out: dropping the peer, since one that restarts during a pull breaks its word too; waiting until the incarnation changes, which the peer chooses.

--- a/internal/peers/hostile_test.go
+++ b/internal/peers/hostile_test.go
@@ -37,11 +37,11 @@
 	s := New(0, Self{Address: address(0)}, seeds)
 	addresses := listed(5000)
 	s.Receive(0, address(3), Digest{Peers: addresses})
-	c.Check(len(s.Due(2*time.Second, false)) <= maxIntroducedPeers+len(seeds)+1, qt.IsTrue)
-	for i := 0; i < len(addresses); i += maxIntroducedPeers {
-		s.Receive(0, address(4+i/maxIntroducedPeers), Digest{Peers: addresses[i:min(i+maxIntroducedPeers, len(addresses))]})
+	c.Check(len(s.Due(2*time.Second, false)) <= MaxListed+len(seeds)+1, qt.IsTrue)
+	for i := 0; i < len(addresses); i += MaxListed {
+		s.Receive(0, address(4+i/MaxListed), Digest{Peers: addresses[i:min(i+MaxListed, len(addresses))]})
 	}
-	c.Check(len(s.peers) <= maxUnheard+len(seeds)+2+len(addresses)/maxIntroducedPeers, qt.IsTrue, qt.Commentf("%d", len(s.peers)))
+	c.Check(len(s.peers) <= maxUnheard+len(seeds)+2+len(addresses)/MaxListed, qt.IsTrue, qt.Commentf("%d", len(s.peers)))
 	// A balancer that is heard has a place all the same.
 	c.Check(s.Receive(0, address(300), Digest{}), qt.IsTrue)
 	c.Check(s.Live(0), qt.Contains, address(300))
@@ -92,3 +92,64 @@
 	s.Due(now, false)
 	c.Check(s.ShouldRead(now), qt.IsTrue)
 }
+
+// Guards against a peer that states versions it does not have and is asked for them again and
+// again, or keeps a balancer from asking the peer that has them.
+func TestBrokenWordIsNotAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	far := Versions{Routes: math.MaxUint64, Targets: at(math.MaxUint64, math.MaxUint64), Evacuations: at(math.MaxUint64, 1)}
+	have := Versions{Routes: 4, Targets: at(1, 9), Evacuations: at(1, 9)}
+	s := New(0, Self{Address: address(0)}, nil)
+	liar := Digest{Routes: far.Routes, Targets: far.Targets, Evacuations: far.Evacuations, Reading: true}
+	s.Receive(0, address(1), liar)
+	from, _ := s.Newer(0, have)
+	c.Assert(from, qt.Equals, address(1))
+	c.Check(s.Pulled(0, from, s.Stated(from), have), qt.IsTrue)
+	asked := 0
+	for now := time.Duration(1); now < 20*time.Second; now += DigestInterval {
+		liar.Routes--
+		liar.Incarnation++
+		s.Receive(now, address(1), liar)
+		if from, found := s.Newer(now, have); found {
+			asked++
+			s.Pulled(now, from, s.Stated(from), have)
+		}
+	}
+	c.Check(asked <= int(20*time.Second/brokenTime), qt.IsTrue, qt.Commentf("%d", asked))
+	now := 20 * time.Second
+	s.Receive(now, address(1), liar)
+	s.Receive(now, address(2), Digest{Routes: 5})
+	from, found := s.Newer(now, have)
+	c.Check(found, qt.IsTrue)
+	c.Check(from, qt.Equals, address(2))
+	have.Routes = 5
+	c.Check(s.Pulled(now, from, s.Stated(from), have), qt.IsFalse)
+}
+
+// Guards against a peer that does not answer pulls and is asked first after each of its digests.
+func TestFailedPullsComeLast(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	s.Receive(0, address(1), Digest{Routes: 9, Reading: true, Evacuations: at(1, 1)})
+	s.PullFailed(address(1))
+	s.Receive(0, address(1), Digest{Routes: 9, Reading: true, Evacuations: at(1, 1)})
+	s.Receive(0, address(2), Digest{Routes: 9})
+	from, _ := s.Newer(0, Versions{Routes: 4, Evacuations: at(1, 1)})
+	c.Check(from, qt.Equals, address(2))
+}
+
+// Guards against a peer that states for ever that it retains something, and whose table is pulled
+// after each of its digests.
+func TestRetainerIsNotAskedAtEachDigest(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	asked := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 50 * time.Millisecond {
+		s.Receive(now, address(1), Digest{Targets: at(1, 9), Retaining: true})
+		if from, found := s.Retainer(now, 1); found {
+			asked++
+			s.Learned(now, from)
+		}
+	}
+	c.Check(asked <= int(10*time.Second/learnInterval), qt.IsTrue, qt.Commentf("%d", asked))
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -47,9 +47,11 @@
 	// maxFreshAge is the age of the store's last response up to which the state
 	// counts as confirmed.
 	maxFreshAge = 1500 * time.Millisecond
-	// maxDigestPeers bounds the addresses in a digest, maxIntroducedPeers those in the
-	// first digest to a peer.
-	maxDigestPeers, maxIntroducedPeers = 4, 64
+	// maxDigestPeers bounds the addresses in a digest after the first one to a peer.
+	maxDigestPeers = 4
+	// MaxListed bounds the addresses in the first digest to a peer, which are all that are
+	// taken from any.
+	MaxListed = 64
 	// maxPeers bounds the addresses that have sent a digest, maxUnheard those that were only
 	// listed in one and get digests until they answer. Seeds come in addition.
 	maxPeers, maxUnheard = 1024, 256
@@ -59,6 +61,12 @@
 	// maxClaimedAge is the highest contact age that a peer may state: longer than a process
 	// runs without its store, and far below the range of a time.Duration.
 	maxClaimedAge = 365 * 24 * time.Hour
+	// brokenTime is the time for which a peer is not asked for newer state after its answer
+	// lacked what its digest stated. It is below the time in which a change has to take
+	// effect, since a peer that restarts during the pull breaks its word too.
+	brokenTime = 2 * time.Second
+	// learnInterval is the time between two pulls of what the same peer retains.
+	learnInterval = time.Second
 )
 
 // Digest is the state that a balancer sends to its peers.
@@ -130,6 +138,13 @@
 	added        time.Duration
 	seed         bool
 	reportedLost bool
+	// brokenUntil is the time until which its versions are not believed.
+	brokenUntil time.Duration
+	// failures counts the pulls that failed since the last that did not.
+	failures int
+	// learnedAt is the time of the last pull of what it retains; valid if learned is set.
+	learnedAt time.Duration
+	learned   bool
 }
 
 // Self describes the balancer that owns a Set.
@@ -223,13 +238,13 @@
 
 // Receive records a digest of a peer. It reports whether the peer is new,
 // restarted or was lost. It drops digests of further peers while maxPeers are known, addresses
-// above maxIntroducedPeers, and a contact age that is out of range.
+// above MaxListed, and a contact age that is out of range.
 func (s *Set) Receive(now time.Duration, from netip.AddrPort, d Digest) bool {
 	p := s.add(now, from, func() bool { return s.count(true) < maxPeers })
 	if p == nil || !p.seen && !p.seed && s.count(true) >= maxPeers {
 		return false
 	}
-	d.Peers = d.Peers[:min(len(d.Peers), maxIntroducedPeers)]
+	d.Peers = d.Peers[:min(len(d.Peers), MaxListed)]
 	if d.ContactAge < 0 || d.ContactAge > maxClaimedAge {
 		d.ContactAge = Never
 	}
@@ -340,7 +355,7 @@
 // Introduction returns the state that this balancer sends to a new peer, which learns the
 // other ones from it.
 func (s *Set) Introduction(now time.Duration, incarnation uint64, have Versions) Digest {
-	return s.digest(now, incarnation, have, maxIntroducedPeers)
+	return s.digest(now, incarnation, have, MaxListed)
 }
 
 func (s *Set) digest(now time.Duration, incarnation uint64, have Versions, maxListed int) Digest {
@@ -423,27 +438,73 @@
 	return out
 }
 
-// Newer returns a live peer that has something newer, if there is one. It prefers readers, then
-// the lowest address.
+// Newer returns a live peer that has something newer, if there is one. It prefers those with the
+// fewest failed pulls, then readers, then the lowest address.
 func (s *Set) Newer(now time.Duration, have Versions) (netip.AddrPort, bool) {
 	var best netip.AddrPort
-	found, reading := false, false
+	var bestPeer *peer
+	reading := false
 	for address, p := range s.peers {
-		if !p.digest.newer(have) || !s.live(now, p) {
+		if !p.digest.newer(have) || !s.live(now, p) || now < p.brokenUntil {
 			continue
 		}
 		reads := s.reads(now, p)
-		if !found || reads && !reading || reads == reading && address.Compare(best) < 0 {
-			best, found, reading = address, true, reads
+		if bestPeer != nil {
+			order := cmp.Or(cmp.Compare(p.failures, bestPeer.failures), compareBool(reading, reads), address.Compare(best))
+			if order >= 0 {
+				continue
+			}
 		}
+		best, bestPeer, reading = address, p, reads
 	}
-	return best, found
+	return best, bestPeer != nil
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Stated returns the versions in the last digest of a peer.
+func (s *Set) Stated(from netip.AddrPort) Versions {
+	p := s.peers[from]
+	if p == nil {
+		return Versions{}
+	}
+	return Versions{Routes: p.digest.Routes, Targets: p.digest.Targets, Evacuations: p.digest.Evacuations}
+}
+
+// Pulled records the answer of a peer to a pull: what its digest stated before, and what this
+// balancer has now. It reports whether the answer lacked what was stated, so that the peer is not
+// asked for brokenTime.
+func (s *Set) Pulled(now time.Duration, from netip.AddrPort, stated, have Versions) (broken bool) {
+	p := s.peers[from]
+	if p == nil {
+		return false
+	}
+	p.failures = 0
+	d := Digest{Routes: stated.Routes, Targets: stated.Targets, Evacuations: stated.Evacuations}
+	if !d.newer(have) {
+		return false
+	}
+	p.brokenUntil = now + brokenTime
+	return true
 }
 
 // Retainer returns a live peer in the given epoch that knows what a table read from the store
 // lacks, if there is one.
 func (s *Set) Retainer(now time.Duration, epoch uint64) (netip.AddrPort, bool) {
 	for address, p := range s.peers {
+		if p.learned && now-p.learnedAt < learnInterval {
+			continue
+		}
 		if p.digest.Retaining && p.digest.Targets.Epoch == epoch && s.live(now, p) {
 			return address, true
 		}
@@ -452,9 +513,10 @@
 }
 
 // Learned records that this balancer has what a peer retains.
-func (s *Set) Learned(from netip.AddrPort) {
+func (s *Set) Learned(now time.Duration, from netip.AddrPort) {
 	if p := s.peers[from]; p != nil {
 		p.digest.Retaining = false
+		p.learned, p.learnedAt = true, now
 	}
 }
 
@@ -517,6 +579,7 @@
 // PullFailed drops the versions that a peer sent, until its next digest.
 func (s *Set) PullFailed(from netip.AddrPort) {
 	if p := s.peers[from]; p != nil {
+		p.failures++
 		p.digest.Routes, p.digest.Targets, p.digest.Evacuations, p.digest.Retaining = 0, registry.Position{}, registry.Position{}, false
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -197,7 +197,7 @@
 		s.Receive(0, address(i), Digest{Zone: zone(i)})
 	}
 	c.Check(s.Due(1, true), qt.HasLen, 2*groupFanout)
-	c.Check(len(s.Introduction(1, 1, Versions{}).Peers) <= maxIntroducedPeers, qt.IsTrue)
+	c.Check(len(s.Introduction(1, 1, Versions{}).Peers) <= MaxListed, qt.IsTrue)
 }
 
 // Guards against a large fleet in which live balancers count as lost, a lost one is not
@@ -284,7 +284,7 @@
 	from, found := s.Retainer(0, 2)
 	c.Check(found, qt.IsTrue)
 	c.Check(from, qt.Equals, address(3))
-	s.Learned(from)
+	s.Learned(0, from)
 	_, found = s.Retainer(0, 2)
 	c.Check(found, qt.IsFalse)
 }
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -151,7 +151,8 @@
 	}
 }
 
-// handleDigest records the digest of another balancer.
+// handleDigest records the digest of another balancer. Any host can send one: what it states is
+// bounded here and by the set of peers, and believed as far as a pull bears it out.
 func (b *Balancer) handleDigest(m *schema.LinkDigest, from netip.AddrPort) {
 	d := peers.Digest{
 		Incarnation: m.Incarnation, Routes: m.RoutesVersion, ContactAge: peers.Never,
@@ -160,14 +161,14 @@
 		Reading:     m.Reading, Failing: m.Failing, Leaving: m.Leaving,
 		Serving: m.Serving, Zone: m.Zone, Capacity: m.Capacity, Retaining: m.Retaining,
 	}
-	if m.GetContactAgeMs() > maxMilliseconds {
+	if m.GetContactAgeMs() > maxMilliseconds || m.Zone != "" && registry.ValidateZone(m.Zone) != nil {
 		b.metrics.Malformed.Inc()
 		return
 	}
 	if m.ContactAgeMs != nil {
 		d.ContactAge = time.Duration(m.GetContactAgeMs()) * time.Millisecond
 	}
-	for _, name := range m.Peers {
+	for _, name := range m.Peers[:min(len(m.Peers), peers.MaxListed)] {
 		address, err := netip.ParseAddrPort(name)
 		if err != nil {
 			b.metrics.Malformed.Inc()
@@ -531,7 +532,7 @@
 	b.mu.Lock()
 	before := b.registry.Table()
 	learned := b.registry.Learn(now, from)
-	b.peers.Learned(peer)
+	b.peers.Learned(now, peer)
 	if learned {
 		b.publishView(now)
 	}
--- a/internal/segnode/sync.go
+++ b/internal/segnode/sync.go
@@ -130,6 +130,7 @@
 		from, found = b.peers.Retainer(now, versions.Targets.Epoch)
 		have.Learning = found
 	}
+	stated := b.peers.Stated(from)
 	start := found && !b.pulling
 	if start {
 		b.pulling = true
@@ -139,16 +140,22 @@
 		return
 	}
 	go func() {
-		if err := b.pullFrom(from, have); err != nil {
-			b.metrics.PullErrors.Inc()
-			b.mu.Lock()
+		err := b.pullFrom(from, have)
+		b.mu.Lock()
+		if err != nil {
 			b.peers.PullFailed(from)
-			b.mu.Unlock()
-			b.options.Logger.Log(telemetry.PullFailed, "peer", from, "error", err)
+		} else if b.peers.Pulled(b.clock.now(), from, stated, b.versions()) {
+			err = errors.Errorf("the answer lacks what the digest stated: routes %d, targets %s, evacuations %s",
+				stated.Routes, stated.Targets, stated.Evacuations)
 		}
-		b.mu.Lock()
 		b.pulling = false
 		b.mu.Unlock()
+		if err != nil {
+			b.metrics.PullErrors.Inc()
+			if b.options.Logger.Allow(telemetry.PullFailed) {
+				b.options.Logger.Log(telemetry.PullFailed, "peer", from, "error", err)
+			}
+		}
 	}()
 }
 
