Balancer: the store overrules a position that a peer made up

Cause: one table or list of evacuated zones of a far position, pulled from one peer, was accepted, and everything the store said afterwards was not newer: the store was ignored until a restart, and its evacuations with it.

Weighed: only epochs read from the store by this balancer count: each of them would have to read after a restore. A bound on the step of an epoch or revision: says nothing of the next one. The word of most peers: they pull from the same one. Taken: the store's positions do not go back, so that a state from a peer is made up if a call to the store that began later answers with an earlier position. A watch that sees this has the whole value read; that takes the place of the made-up state, and peers that state such positions are not believed for 10 s. Peers with an earlier table no longer confirm what a balancer has, also in the same epoch, so that one with a made-up table reads the store itself.

The tests gave EnterEpoch an epoch; Enter gets the position, the checks are the same. The version of routes is not covered: a lower one in the store may be the operator's, and is ignored by design.

--- a/internal/peers/hostile_test.go
+++ b/internal/peers/hostile_test.go
@@ -153,3 +153,46 @@
 	}
 	c.Check(asked <= int(10*time.Second/learnInterval), qt.IsTrue, qt.Commentf("%d", asked))
 }
+
+// Guards against a balancer that follows a peer again which states what the store has refuted, and
+// against one that disbelieves its peers for good when the store gets there.
+func TestRefutedPositionIsNotBelieved(t *testing.T) {
+	c := qt.New(t)
+	have := Versions{Routes: 4, Targets: at(1, 9), Evacuations: at(1, 9)}
+	for name, stated := range map[string]Versions{
+		"targets":     {Targets: at(1, 12), Evacuations: at(1, 9)},
+		"evacuations": {Targets: at(1, 9), Evacuations: at(7, 1)},
+	} {
+		s := New(0, Self{Address: address(0)}, nil)
+		s.Enter(at(1, 9))
+		refuted := Versions{Targets: at(1, 12), Evacuations: at(7, 1)}
+		s.Refute(0, Versions{Targets: refuted.Targets})
+		s.Refute(0, Versions{Evacuations: refuted.Evacuations})
+		digest := Digest{Targets: stated.Targets, Evacuations: stated.Evacuations, Reading: true}
+		s.Receive(1, address(1), digest)
+		_, found := s.Newer(1, have)
+		c.Check(found, qt.IsFalse, qt.Commentf(name))
+		c.Check(s.HasReader(1), qt.IsFalse, qt.Commentf(name))
+		c.Check(s.Fresh(1), qt.IsFalse, qt.Commentf(name))
+		s.Receive(1, address(2), Digest{Targets: at(1, 11), Evacuations: at(1, 10)})
+		from, _ := s.Newer(1, have)
+		c.Check(from, qt.Equals, address(2), qt.Commentf(name))
+		s.Receive(refutedTime, address(1), digest)
+		_, found = s.Newer(refutedTime, have)
+		c.Check(found, qt.IsTrue, qt.Commentf(name))
+	}
+}
+
+// Guards against a balancer with a table that a peer made up, which the others do not have, that
+// leaves the reading of the store to them and so never learns that its table is none of the store's.
+func TestEarlierTablesDoNotConfirmALaterOne(t *testing.T) {
+	c := qt.New(t)
+	s := New(0, Self{Address: address(0)}, nil)
+	s.StoreResponded(0)
+	s.StopReading()
+	s.Enter(at(1, 1<<60))
+	now := 5 * time.Second
+	s.Receive(now, address(1), Digest{Targets: at(1, 9), Evacuations: at(1, 9), Reading: true})
+	c.Check(s.Fresh(now), qt.IsFalse)
+	c.Check(s.ShouldRead(now), qt.IsTrue)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -65,6 +65,8 @@
 	// lacked what its digest stated. It is below the time in which a change has to take
 	// effect, since a peer that restarts during the pull breaks its word too.
 	brokenTime = 2 * time.Second
+	// refutedTime is the time for which positions that the store never had are remembered.
+	refutedTime = 10 * time.Second
 	// learnInterval is the time between two pulls of what the same peer retains.
 	learnInterval = time.Second
 )
@@ -165,11 +167,15 @@
 	// valid if hasContact is set.
 	lastContact time.Duration
 	hasContact  bool
-	// epoch is the epoch of the table of this balancer.
-	epoch   uint64
-	failing bool
-	reading bool
-	leaving bool
+	// position is that of the table of this balancer.
+	position registry.Position
+	// refuted are positions that the store never had although peers stated them. Until
+	// refutedUntil, peers that state them or later ones are not believed.
+	refuted      Versions
+	refutedUntil time.Duration
+	failing      bool
+	reading      bool
+	leaving      bool
 	// remote and local are the numbers of peers in other zones and in the own one that
 	// have sent a digest.
 	remote, local int
@@ -257,20 +263,44 @@
 		s.addListed(now, address)
 	}
 	p.digest.Peers = nil
-	if d.ContactAge != Never && !s.isOutdated(p) {
+	if d.ContactAge != Never && !s.isOutdated(now, p) {
 		s.updateContact(now - d.ContactAge)
 	}
 	return fresh
 }
 
-// EnterEpoch records the epoch of the table of this balancer.
-func (s *Set) EnterEpoch(epoch uint64) { s.epoch = epoch }
+// Enter records the position of the table of this balancer.
+func (s *Set) Enter(position registry.Position) { s.position = position }
 
-// isOutdated reports whether a peer has not noticed yet that the store was restored, or does not
-// read all that this balancer needs, as those of an earlier build. What it says of the store does
-// not confirm what this balancer has.
-func (s *Set) isOutdated(p *peer) bool {
-	return p.digest.Targets.Epoch < s.epoch || p.digest.Evacuations.Revision == 0
+// Refute records positions that this balancer had from peers, and that the store, read afterwards,
+// has not reached; zero ones say nothing. The memory ends after refutedTime, because the store
+// reaches a position that is a little too high.
+func (s *Set) Refute(now time.Duration, positions Versions) {
+	if now >= s.refutedUntil {
+		s.refuted = Versions{}
+	}
+	s.refutedUntil = now + refutedTime
+	if positions.Targets.Revision != 0 {
+		s.refuted.Targets = positions.Targets
+	}
+	if positions.Evacuations.Revision != 0 {
+		s.refuted.Evacuations = positions.Evacuations
+	}
+}
+
+// isRefuted reports whether a peer states a position that the store never had.
+func (s *Set) isRefuted(now time.Duration, p *peer) bool {
+	reaches := func(stated, refuted registry.Position) bool { return refuted.Revision != 0 && !refuted.After(stated) }
+	return now < s.refutedUntil && (reaches(p.digest.Targets, s.refuted.Targets) || reaches(p.digest.Evacuations, s.refuted.Evacuations))
+}
+
+// isOutdated reports whether a peer has an earlier table, for example because it has not noticed
+// yet that the store was restored, or does not read all that this balancer needs, as those of an
+// earlier build, or states what the store has refuted. What it says of the store does not confirm
+// what this balancer has. If all peers have an earlier table, this balancer reads the store
+// itself: it may have the later one from a peer that made it up.
+func (s *Set) isOutdated(now time.Duration, p *peer) bool {
+	return s.position.After(p.digest.Targets) || p.digest.Evacuations.Revision == 0 || s.isRefuted(now, p)
 }
 
 // updateContact moves the time of the store's last response forward.
@@ -331,7 +361,7 @@
 // reads reports whether a peer reads the store with success. A claim is not believed for
 // longer than peerTimeout, so that a lost reader is replaced in time.
 func (s *Set) reads(now time.Duration, p *peer) bool {
-	return p.digest.Reading && !s.isOutdated(p) && !p.digest.Leaving && now-p.lastSeen <= peerTimeout
+	return p.digest.Reading && !s.isOutdated(now, p) && !p.digest.Leaving && now-p.lastSeen <= peerTimeout
 }
 
 // Live returns the peers from which digests arrive, sorted by address.
@@ -445,7 +475,7 @@
 	var bestPeer *peer
 	reading := false
 	for address, p := range s.peers {
-		if !p.digest.newer(have) || !s.live(now, p) || now < p.brokenUntil {
+		if !p.digest.newer(have) || !s.live(now, p) || now < p.brokenUntil || s.isRefuted(now, p) {
 			continue
 		}
 		reads := s.reads(now, p)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -261,7 +261,7 @@
 func TestPullAfterARestore(t *testing.T) {
 	c := qt.New(t)
 	s := New(0, Self{Address: address(0)}, nil)
-	s.EnterEpoch(1)
+	s.Enter(at(1, 9))
 	s.Receive(0, address(1), Digest{Routes: 4, Targets: at(2, 3)})
 	from, found := s.Newer(0, Versions{Routes: 4, Targets: at(1, 9)})
 	c.Check(found, qt.IsTrue)
@@ -296,7 +296,7 @@
 	s := New(0, Self{Address: address(0)}, nil)
 	s.StoreResponded(0)
 	s.StopReading()
-	s.EnterEpoch(2)
+	s.Enter(at(2, 3))
 	now := 2 * time.Second
 	s.Receive(now, address(1), Digest{Targets: at(1, 40), Evacuations: at(1, 40), ContactAge: 0, Reading: true})
 	c.Check(s.Fresh(now), qt.IsFalse)
--- a/internal/registry/evacuation.go
+++ b/internal/registry/evacuation.go
@@ -186,9 +186,19 @@
 	if list.Epoch != current.Epoch || current.Revision == 0 {
 		e.enterEpoch(now)
 	}
+	e.put(now, list)
+	return true
+}
+
+// OverruleEvacuations puts a list that was read from the store into force in place of one of a
+// later position that the store never had.
+func (r *Registry) OverruleEvacuations(now time.Duration, list Evacuations) {
+	r.evacuations.put(now, list)
+}
+
+func (e *evacuations) put(now time.Duration, list Evacuations) {
 	e.list.Epoch, e.list.Revision, e.list.Zones = list.Epoch, list.Revision, list.Zones
 	e.learn(now, list)
-	return true
 }
 
 // LearnEvacuations adds the zones that a peer has retained to a list of the same epoch that
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -316,6 +316,16 @@
 	if restored {
 		r.retain(now, table.Targets)
 	}
+	r.put(now, table, restored)
+	return true
+}
+
+// OverruleTable puts a table that was read from the store into force in place of one of a later
+// position that the store never had.
+func (r *Registry) OverruleTable(now time.Duration, table Table) { r.put(now, table, false) }
+
+// put puts a table into force. In the first one of an epoch, restored is set.
+func (r *Registry) put(now time.Duration, table Table, restored bool) {
 	r.retained.adopt(now, table.Retained)
 	incoming := table.Targets
 	r.published = nil
@@ -324,7 +334,6 @@
 		incoming = r.retained.reconcile(incoming)
 	}
 	r.table = Table{Epoch: table.Epoch, Revision: table.Revision, Targets: r.merge(now, incoming, restored)}
-	return true
 }
 
 // merge returns the targets of a table together with the lapsed ones. In the first table of
--- a/internal/segnode/balancer.go
+++ b/internal/segnode/balancer.go
@@ -113,13 +113,16 @@
 	// lastPacket is the time of the last segment from a caller.
 	lastPacket atomic.Int64
 
-	mu             sync.Mutex
-	peers          *peers.Set
-	registry       *registry.Registry
-	pings          reports.Pings
-	pulling        bool
-	stopReading    context.CancelFunc
-	storeReachable bool
+	mu sync.Mutex
+	// tableFromPeer and zonesFromPeer are the times at which the table and the list of
+	// evacuated zones in force came from a peer; 0 if they are from the store.
+	tableFromPeer, zonesFromPeer time.Duration
+	peers                        *peers.Set
+	registry                     *registry.Registry
+	pings                        reports.Pings
+	pulling                      bool
+	stopReading                  context.CancelFunc
+	storeReachable               bool
 	// storeFailed is set once a call to the store has failed.
 	storeFailed bool
 	// partialUntil is the time until which the first table may lack live targets.
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -404,7 +404,13 @@
 
 // acceptEvacuations applies a list of evacuated zones if it is newer.
 func (b *Balancer) acceptEvacuations(list registry.Evacuations, source string) {
-	b.updateEvacuations(source, func(now time.Duration) bool { return b.registry.AcceptEvacuations(now, list) })
+	b.updateEvacuations(source, func(now time.Duration) bool {
+		accepted := b.registry.AcceptEvacuations(now, list)
+		if accepted {
+			b.zonesFromPeer = fromPeer(now, source)
+		}
+		return accepted
+	})
 }
 
 // learnEvacuations adds the zones that a peer has retained from before a restore of the store.
@@ -487,7 +493,8 @@
 		if current.Revision == 0 {
 			b.partialUntil = now + b.partialTime()
 		}
-		b.peers.EnterEpoch(table.Epoch)
+		b.tableFromPeer = fromPeer(now, source)
+		b.peers.Enter(table.Position())
 		b.publishView(now)
 	}
 	b.mu.Unlock()
--- a/internal/segnode/reader.go
+++ b/internal/segnode/reader.go
@@ -174,27 +174,32 @@
 	source := b.options.Source
 	var zones registry.Evacuations
 	b.follow(ctx, "routes", func(ctx context.Context) (registry.Position, error) {
+		begun := b.clock.now()
 		routes, read, err := source.Routes(ctx, readTimeout)
 		if err != nil {
 			return registry.Position{}, err
 		}
 		zones = read
-		b.acceptEvacuations(zones, "store")
+		b.readEvacuations(zones, begun)
 		if routes.Version != 0 {
-			b.acceptRoutes(routes, "store")
+			b.acceptRoutes(routes, storeSource)
 		}
 		return zones.Position(), nil
 	}, func(ctx context.Context, after registry.Position) (registry.Position, bool, error) {
+		begun := b.clock.now()
 		routes, changes, position, err := source.WatchRoutes(ctx, after, watchTimeout)
 		if err != nil {
 			return registry.Position{}, false, err
 		}
+		if _, ahead := b.aheadOfStore(latest(after, position), begun); ahead {
+			return registry.Position{}, false, ErrHistoryLost
+		}
 		if len(changes) > 0 {
 			zones = zones.Apply(changes, position.Revision)
-			b.acceptEvacuations(zones, "store")
+			b.acceptEvacuations(zones, storeSource)
 		}
 		if routes != nil {
-			b.acceptRoutes(*routes, "store")
+			b.acceptRoutes(*routes, storeSource)
 		}
 		return position, routes != nil || len(changes) > 0, nil
 	})
@@ -210,26 +215,38 @@
 	}
 	var table registry.Table
 	b.follow(ctx, "targets", func(ctx context.Context) (registry.Position, error) {
+		begun := b.clock.now()
 		read, err := source.Targets(ctx, readTimeout)
 		if err != nil {
 			return registry.Position{}, err
 		}
 		table = read
-		b.acceptTable(table, "store")
+		b.readTable(table, begun)
 		return table.Position(), nil
 	}, func(ctx context.Context, after registry.Position) (registry.Position, bool, error) {
+		begun := b.clock.now()
 		changes, position, err := source.WatchTargets(ctx, after, watchTimeout)
 		if err != nil {
 			return registry.Position{}, false, err
 		}
+		if ahead, _ := b.aheadOfStore(latest(after, position), begun); ahead {
+			// The whole read decides whether the state in force is the store's.
+			return registry.Position{}, false, ErrHistoryLost
+		}
 		table = table.Apply(changes, position.Revision)
 		if len(changes) > 0 {
-			b.acceptTable(table, "store")
+			b.acceptTable(table, storeSource)
 		}
 		return position, len(changes) > 0, nil
 	})
 }
 
+// latest returns the position of a watch that continues at another one. A store that does not state
+// its position in an answer is at least where the watch began.
+func latest(after, position registry.Position) registry.Position {
+	return registry.Position{Epoch: after.Epoch, Revision: max(after.Revision, position.Revision)}
+}
+
 // hasTable reports whether the balancer has a table of targets.
 func (b *Balancer) hasTable() bool {
 	b.mu.Lock()
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -144,6 +144,8 @@
 		Message: "another call to the unreachable store failed", Fields: []string{"waited", "error"}, Limited: true}
 	ZoneEvacuated = Event{Number: 236, Level: log.InfoLevel, Name: "zone_evacuated",
 		Message: "availability zone evacuated, or taken back", Fields: []string{"zone", "evacuated", "epoch", "revision", "source"}, Limited: true}
+	PeerOverruled = Event{Number: 237, Level: log.ErrorLevel, Name: "peer_overruled",
+		Message: "the store has not reached the position that a peer stated; what the store says is used", Fields: []string{"what", "position", "store"}}
 	RoutesUnusable = Event{Number: 228, Level: log.ErrorLevel, Name: "routes_unusable",
 		Message: "published configuration cannot be read; the last one stays in force", Fields: []string{"key", "error"}}
 )
@@ -210,7 +212,7 @@
 		ConfigAccepted, ConfigLower, ConfigConflict, ConfigInvalid,
 		ConfigServiceUnreachable, ConfigServiceReachable, ListenerFailed,
 		RoutesAccepted, TargetChanged, EntryUnusable, StoreUnreachable, StoreReachable, ReaderChosen, ReaderReleased, PullFailed, RoutesUnusable,
-		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned, StoreCallFailed, ZoneEvacuated,
+		StoreRead, HistoryLost, StoreRestored, TableIgnored, RestoreLearned, TargetDisowned, StoreCallFailed, ZoneEvacuated, PeerOverruled,
 		HostDead, HostBack, OwnLinkDoubted, OwnLinkTrusted, PeerHeard, PeerLost,
 		FlowOpenedOutOfOrder, HandoverTimeout, BackendUnreachable, FlowLost,
 		PacketDropped, Refused,
