Balancer: bound the answers to pulls, and the connections that ask for them

Cause: net/rpc reads up to 1 GiB from a connection, which any host can open in any number, and which lasted for 10 s. The lists in an answer, among them what a peer retained from before a restore and the services of the configuration, were kept whatever their number and the length of their names.

Change: 64 KiB are read of a request and 64 MiB of an answer; 256 connections are served at a time, further ones are closed and counted as overruns; a list above 65,536 entries costs the answer, an unusable name its entry. A host that holds 256 connections open delays pulls by 10 s; before, it cost memory without a bound.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -115,6 +115,17 @@
 		routes = append(routes, route)
 	}
 	r.Routes = routes
+	services := make([]string, 0, len(r.Services))
+	for _, name := range r.Services {
+		if err := validateService(name); err != nil {
+			report(Unusable{Key: name[:min(len(name), maxNameBytes)], Err: err})
+			continue
+		}
+		services = append(services, name)
+	}
+	if r.Services != nil {
+		r.Services = services
+	}
 	r.Warmups = usableWarmups(r.Warmups, report)
 	return r
 }
@@ -224,7 +235,8 @@
 }
 
 // Usable returns the table without the entries that cannot be used, each of which is
-// reported. A start in the future is reported and counts as none.
+// reported. A start in the future is reported and counts as none. The same holds for what is
+// retained.
 func (t Table) Usable(now time.Time, report func(Unusable)) Table {
 	targets := make([]Target, 0, len(t.Targets))
 	for _, target := range t.Targets {
@@ -237,7 +249,7 @@
 		}
 		targets = append(targets, target)
 	}
-	t.Targets = targets
+	t.Targets, t.Retained = targets, t.Retained.usable(report)
 	return t
 }
 
--- a/internal/registry/restore.go
+++ b/internal/registry/restore.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -49,6 +51,33 @@
 	Departed []Departure
 }
 
+// usable returns what can be used; the incarnations that cannot exist are left out and reported.
+func (r *Retained) usable(report func(Unusable)) *Retained {
+	if r == nil {
+		return nil
+	}
+	valid := func(i Incarnation) bool {
+		if i.ID != "" && len(i.ID) <= maxNameBytes && i.Born >= 0 {
+			return true
+		}
+		report(Unusable{Key: i.ID[:min(len(i.ID), maxNameBytes)], Err: errors.Errorf(
+			"retained incarnation with an id of %d bytes and start %d ms: must have 1 to %d bytes and no negative start", len(i.ID), i.Born, maxNameBytes)})
+		return false
+	}
+	out := &Retained{Left: r.Left}
+	for _, i := range r.Draining {
+		if valid(i) {
+			out.Draining = append(out.Draining, i)
+		}
+	}
+	for _, d := range r.Departed {
+		if valid(d.Incarnation) {
+			out.Departed = append(out.Departed, d)
+		}
+	}
+	return out
+}
+
 // retained is Retained as a process keeps it.
 type retained struct {
 	until    time.Duration
--- a/internal/segnode/sync.go
+++ b/internal/segnode/sync.go
@@ -1,9 +1,11 @@
 package segnode
 
 import (
+	"maps"
 	"net"
 	"net/netip"
 	"net/rpc"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +26,16 @@
 	// acceptBackoff is the delay after a failed accept, which would otherwise be
 	// repeated in a busy loop.
 	acceptBackoff = 10 * time.Millisecond
+	// maxPullConns bounds the connections of other balancers that are served at a time.
+	maxPullConns = 256
+	// maxPullRequest bounds what is read from a connection of another balancer, in bytes: one
+	// request with its types has some 300.
+	maxPullRequest = 64 << 10
+	// maxPullAnswer bounds what is read of the answer to a pull, in bytes: more than a table
+	// of maxListEntries targets has.
+	maxPullAnswer = 64 << 20
+	// maxListEntries bounds each list in the answer to a pull.
+	maxListEntries = 1 << 16
 	// rpcService is the name of the net/rpc service between balancers.
 	rpcService = "Balancer"
 )
@@ -64,6 +76,48 @@
 	Evacuations *registry.Evacuations
 }
 
+// validate returns an error that names the first list with more than maxListEntries entries.
+func (k *Knowledge) validate() error {
+	lengths := make(map[string]int)
+	if r := k.Routes; r != nil {
+		lengths["routes"], lengths["services"], lengths["warm-ups"] = len(r.Routes), len(r.Services), len(r.Warmups)
+		for _, route := range r.Routes {
+			lengths["services of a route"] = max(lengths["services of a route"], len(route.Shares))
+		}
+	}
+	if t := k.Table; t != nil {
+		lengths["targets"] = len(t.Targets)
+		if t.Retained != nil {
+			lengths["retained drains"], lengths["retained departures"] = len(t.Retained.Draining), len(t.Retained.Departed)
+		}
+	}
+	if e := k.Evacuations; e != nil {
+		lengths["evacuated zones"], lengths["retained zones"], lengths["ended zones"] = len(e.Zones), len(e.Retained), len(e.Ended)
+	}
+	for _, what := range slices.Sorted(maps.Keys(lengths)) {
+		if lengths[what] > maxListEntries {
+			return errors.Errorf("%d %s: must be at most %d", lengths[what], what, maxListEntries)
+		}
+	}
+	return nil
+}
+
+// limitedConn is a connection from which at most left bytes are read. Reads beyond that fail.
+type limitedConn struct {
+	net.Conn
+	left int
+}
+
+// Read implements net.Conn.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errors.New("the other side sends more than the protocol needs")
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
 // syncService serves the pulls of other balancers.
 type syncService struct{ balancer *Balancer }
 
@@ -95,6 +149,7 @@
 		listener.Close()
 		return nil, errors.Wrapf(err, "register RPC service %q", rpcService)
 	}
+	served := make(chan struct{}, maxPullConns)
 	b.run(func() error {
 		for {
 			conn, err := listener.Accept()
@@ -114,7 +169,18 @@
 				conn.Close()
 				continue
 			}
-			go server.ServeConn(conn)
+			select {
+			case served <- struct{}{}:
+			default:
+				// Peers pull again.
+				b.metrics.Overruns.Inc()
+				conn.Close()
+				continue
+			}
+			go func() {
+				defer func() { <-served }()
+				server.ServeConn(&limitedConn{conn, maxPullRequest})
+			}()
 		}
 	})
 	return listener, nil
@@ -168,12 +234,15 @@
 	if err := conn.SetDeadline(time.Now().Add(pullTimeout)); err != nil {
 		return errors.Wrapf(err, "set the deadline of the connection to balancer %s", peer)
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(&limitedConn{conn, maxPullAnswer})
 	defer client.Close()
 	var newer Knowledge
 	if err := client.Call(rpcService+".Pull", have, &newer); err != nil {
 		return errors.Wrapf(err, "pull from balancer %s", peer)
 	}
+	if err := newer.validate(); err != nil {
+		return errors.Wrapf(err, "pull from balancer %s", peer)
+	}
 	if newer.Evacuations != nil {
 		zones := newer.Evacuations.Usable(b.recordUnusable)
 		if have.Learning {
