--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -24,8 +24,8 @@
 	// maxNameBytes bounds the names of services and zones and the IDs of targets, which
 	// appear in logs and messages: the length of a key of the store.
 	maxNameBytes = 200
-	// maxSlots bounds the slots of a target.
-	maxSlots = 1 << 16
+	// MaxSlots bounds the slots of a target.
+	MaxSlots = 1 << 16
 	// maxClockDifference bounds the difference between the clocks of two hosts.
 	maxClockDifference = 24 * time.Hour
 )
@@ -162,8 +162,8 @@
 	switch {
 	case t.ID == "" || len(t.ID) > maxNameBytes:
 		return errors.Errorf("id of %d bytes: must have 1 to %d", len(t.ID), maxNameBytes)
-	case t.Slots < 1 || t.Slots > maxSlots:
-		return errors.Errorf("slots %d: must be from 1 to %d", t.Slots, maxSlots)
+	case t.Slots < 1 || t.Slots > MaxSlots:
+		return errors.Errorf("slots %d: must be from 1 to %d", t.Slots, MaxSlots)
 	case t.Born < 0:
 		return errors.Errorf("start %d ms: must not be negative", t.Born)
 	case t.WarmupLeft < 0 || t.WarmupLeft > MaxWarmup:
--- a/internal/segnode/agent.go
+++ b/internal/segnode/agent.go
@@ -403,8 +403,13 @@
 }
 
 // handlePing updates the view of the target, registers the balancer for reports
-// and sends it a flow restore if the ping requests one.
+// and sends it a flow restore if the ping requests one. A ping with a tag or slots out of range is
+// dropped.
 func (a *Agent) handlePing(ping *schema.LinkPing, from netip.AddrPort) {
+	if ping.ServiceTag > math.MaxUint16 || ping.Slots > registry.MaxSlots {
+		a.metrics.Malformed.Inc()
+		return
+	}
 	now := a.clock.now()
 	a.mu.Lock()
 	if segment.Tag(ping.ServiceTag) == a.tracker.Tag() {
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -40,8 +40,12 @@
 	}
 }
 
-// handleLoad records the load report of an agent.
+// handleLoad records the load report of an agent. A report of a share above 1 is dropped.
 func (b *Balancer) handleLoad(m *schema.LinkLoad, from netip.AddrPort) {
+	if m.FailingMilli > 1000 {
+		b.metrics.Malformed.Inc()
+		return
+	}
 	view := b.view.Load()
 	if view == nil {
 		return
