--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -47,9 +47,28 @@
 	// maxFreshAge is the age of the store's last response up to which the state
 	// counts as confirmed.
 	maxFreshAge = 1500 * time.Millisecond
-	// maxDigestPeers bounds the addresses in a digest, maxIntroducedPeers those in the
-	// first digest to a peer.
-	maxDigestPeers, maxIntroducedPeers = 4, 64
+	// maxDigestPeers bounds the addresses in a digest after the first one to a peer.
+	maxDigestPeers = 4
+	// MaxListed bounds the addresses in the first digest to a peer, which are all that are
+	// taken from any.
+	MaxListed = 64
+	// maxPeers bounds the addresses that have sent a digest, maxUnheard those that were only
+	// listed in one and get digests until they answer. Seeds come in addition.
+	maxPeers, maxUnheard = 1024, 256
+	// maxRankDelay bounds the delay by rank. The balancers that come first and are dead
+	// count as lost after peerTimeout.
+	maxRankDelay = 3 * time.Second
+	// maxClaimedAge is the highest contact age that a peer may state: longer than a process
+	// runs without its store, and far below the range of a time.Duration.
+	maxClaimedAge = 365 * 24 * time.Hour
+	// brokenTime is the time for which a peer is not asked for newer state after its answer
+	// lacked what its digest stated. It is below the time in which a change has to take
+	// effect, since a peer that restarts during the pull breaks its word too.
+	brokenTime = 2 * time.Second
+	// refutedTime is the time for which positions that the store never had are remembered.
+	refutedTime = 10 * time.Second
+	// learnInterval is the time between two pulls of what the same peer retains.
+	learnInterval = time.Second
 )
 
 // Digest is the state that a balancer sends to its peers.
@@ -121,6 +140,13 @@
 	added        time.Duration
 	seed         bool
 	reportedLost bool
+	// brokenUntil is the time until which its versions are not believed.
+	brokenUntil time.Duration
+	// failures counts the pulls that failed since the last that did not.
+	failures int
+	// learnedAt is the time of the last pull of what it retains; valid if learned is set.
+	learnedAt time.Duration
+	learned   bool
 }
 
 // Self describes the balancer that owns a Set.
@@ -141,11 +167,15 @@
 	// valid if hasContact is set.
 	lastContact time.Duration
 	hasContact  bool
-	// epoch is the epoch of the table of this balancer.
-	epoch   uint64
-	failing bool
-	reading bool
-	leaving bool
+	// position is that of the table of this balancer.
+	position registry.Position
+	// refuted are positions that the store never had although peers stated them. Until
+	// refutedUntil, peers that state them or later ones are not believed.
+	refuted      Versions
+	refutedUntil time.Duration
+	failing      bool
+	reading      bool
+	leaving      bool
 	// remote and local are the numbers of peers in other zones and in the own one that
 	// have sent a digest.
 	remote, local int
@@ -168,18 +198,43 @@
 		p.seed = false
 	}
 	for _, seed := range seeds {
-		if p := s.add(now, seed); p != nil {
+		if p := s.add(now, seed, func() bool { return true }); p != nil {
 			p.seed = true
 		}
 	}
 }
 
-func (s *Set) add(now time.Duration, address netip.AddrPort) *peer {
+// count returns the number of peers, without seeds, that have sent a digest, or that have not.
+func (s *Set) count(seen bool) (n int) {
+	for _, p := range s.peers {
+		if !p.seed && p.seen == seen {
+			n++
+		}
+	}
+	return n
+}
+
+// addListed adds an address that a digest lists, if it can be a balancer's and there is room.
+func (s *Set) addListed(now time.Duration, address netip.AddrPort) {
+	if a := address.Addr(); !a.Is4() || a.IsUnspecified() || a.IsMulticast() || a == broadcast || address.Port() == 0 {
+		return
+	}
+	s.add(now, address, func() bool { return s.count(false) < maxUnheard })
+}
+
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// add returns the peer with an address, which it adds if it is not known. It returns nil for the
+// own address and if there is no room.
+func (s *Set) add(now time.Duration, address netip.AddrPort, hasRoom func() bool) *peer {
 	if address == s.address || !address.IsValid() {
 		return nil
 	}
 	p := s.peers[address]
 	if p == nil {
+		if !hasRoom() {
+			return nil
+		}
 		p = &peer{rank: readerRank(address), added: now, lastSent: now - silentInterval}
 		p.phase = time.Duration((p.rank ^ bits.RotateLeft64(s.rank, 32)) % uint64(maxPhase))
 		s.peers[address] = p
@@ -188,34 +243,64 @@
 }
 
 // Receive records a digest of a peer. It reports whether the peer is new,
-// restarted or was lost.
+// restarted or was lost. It drops digests of further peers while maxPeers are known, addresses
+// above MaxListed, and a contact age that is out of range.
 func (s *Set) Receive(now time.Duration, from netip.AddrPort, d Digest) bool {
-	p := s.add(now, from)
-	if p == nil {
+	p := s.add(now, from, func() bool { return s.count(true) < maxPeers })
+	if p == nil || !p.seen && !p.seed && s.count(true) >= maxPeers {
 		return false
 	}
+	d.Peers = d.Peers[:min(len(d.Peers), MaxListed)]
+	if d.ContactAge < 0 || d.ContactAge > maxClaimedAge {
+		d.ContactAge = Never
+	}
 	fresh := !p.seen || p.digest.Incarnation != d.Incarnation || now-p.lastSeen > timeoutIntervals*s.interval(p)
 	p.digest, p.lastSeen, p.seen, p.reportedLost = d, now, true, false
 	if fresh {
 		p.slot = (now + p.phase) / s.interval(p)
 	}
 	for _, address := range d.Peers {
-		s.add(now, address)
+		s.addListed(now, address)
 	}
-	if d.ContactAge != Never && !s.isOutdated(p) {
+	p.digest.Peers = nil
+	if d.ContactAge != Never && !s.isOutdated(now, p) {
 		s.updateContact(now - d.ContactAge)
 	}
 	return fresh
 }
 
-// EnterEpoch records the epoch of the table of this balancer.
-func (s *Set) EnterEpoch(epoch uint64) { s.epoch = epoch }
+// Enter records the position of the table of this balancer.
+func (s *Set) Enter(position registry.Position) { s.position = position }
+
+// Refute records positions that this balancer had from peers, and that the store, read afterwards,
+// has not reached; zero ones say nothing. The memory ends after refutedTime, because the store
+// reaches a position that is a little too high.
+func (s *Set) Refute(now time.Duration, positions Versions) {
+	if now >= s.refutedUntil {
+		s.refuted = Versions{}
+	}
+	s.refutedUntil = now + refutedTime
+	if positions.Targets.Revision != 0 {
+		s.refuted.Targets = positions.Targets
+	}
+	if positions.Evacuations.Revision != 0 {
+		s.refuted.Evacuations = positions.Evacuations
+	}
+}
+
+// isRefuted reports whether a peer states a position that the store never had.
+func (s *Set) isRefuted(now time.Duration, p *peer) bool {
+	reaches := func(stated, refuted registry.Position) bool { return refuted.Revision != 0 && !refuted.After(stated) }
+	return now < s.refutedUntil && (reaches(p.digest.Targets, s.refuted.Targets) || reaches(p.digest.Evacuations, s.refuted.Evacuations))
+}
 
-// isOutdated reports whether a peer has not noticed yet that the store was restored, or does not
-// read all that this balancer needs, as those of an earlier build. What it says of the store does
-// not confirm what this balancer has.
-func (s *Set) isOutdated(p *peer) bool {
-	return p.digest.Targets.Epoch < s.epoch || p.digest.Evacuations.Revision == 0
+// isOutdated reports whether a peer has an earlier table, for example because it has not noticed
+// yet that the store was restored, or does not read all that this balancer needs, as those of an
+// earlier build, or states what the store has refuted. What it says of the store does not confirm
+// what this balancer has. If all peers have an earlier table, this balancer reads the store
+// itself: it may have the later one from a peer that made it up.
+func (s *Set) isOutdated(now time.Duration, p *peer) bool {
+	return s.position.After(p.digest.Targets) || p.digest.Evacuations.Revision == 0 || s.isRefuted(now, p)
 }
 
 // updateContact moves the time of the store's last response forward.
@@ -276,7 +361,7 @@
 // reads reports whether a peer reads the store with success. A claim is not believed for
 // longer than peerTimeout, so that a lost reader is replaced in time.
 func (s *Set) reads(now time.Duration, p *peer) bool {
-	return p.digest.Reading && !s.isOutdated(p) && !p.digest.Leaving && now-p.lastSeen <= peerTimeout
+	return p.digest.Reading && !s.isOutdated(now, p) && !p.digest.Leaving && now-p.lastSeen <= peerTimeout
 }
 
 // Live returns the peers from which digests arrive, sorted by address.
@@ -300,7 +385,7 @@
 // Introduction returns the state that this balancer sends to a new peer, which learns the
 // other ones from it.
 func (s *Set) Introduction(now time.Duration, incarnation uint64, have Versions) Digest {
-	return s.digest(now, incarnation, have, maxIntroducedPeers)
+	return s.digest(now, incarnation, have, MaxListed)
 }
 
 func (s *Set) digest(now time.Duration, incarnation uint64, have Versions, maxListed int) Digest {
@@ -383,27 +468,73 @@
 	return out
 }
 
-// Newer returns a live peer that has something newer, if there is one. It prefers readers, then
-// the lowest address.
+// Newer returns a live peer that has something newer, if there is one. It prefers those with the
+// fewest failed pulls, then readers, then the lowest address.
 func (s *Set) Newer(now time.Duration, have Versions) (netip.AddrPort, bool) {
 	var best netip.AddrPort
-	found, reading := false, false
+	var bestPeer *peer
+	reading := false
 	for address, p := range s.peers {
-		if !p.digest.newer(have) || !s.live(now, p) {
+		if !p.digest.newer(have) || !s.live(now, p) || now < p.brokenUntil || s.isRefuted(now, p) {
 			continue
 		}
 		reads := s.reads(now, p)
-		if !found || reads && !reading || reads == reading && address.Compare(best) < 0 {
-			best, found, reading = address, true, reads
+		if bestPeer != nil {
+			order := cmp.Or(cmp.Compare(p.failures, bestPeer.failures), compareBool(reading, reads), address.Compare(best))
+			if order >= 0 {
+				continue
+			}
 		}
+		best, bestPeer, reading = address, p, reads
+	}
+	return best, bestPeer != nil
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
 	}
-	return best, found
+}
+
+// Stated returns the versions in the last digest of a peer.
+func (s *Set) Stated(from netip.AddrPort) Versions {
+	p := s.peers[from]
+	if p == nil {
+		return Versions{}
+	}
+	return Versions{Routes: p.digest.Routes, Targets: p.digest.Targets, Evacuations: p.digest.Evacuations}
+}
+
+// Pulled records the answer of a peer to a pull: what its digest stated before, and what this
+// balancer has now. It reports whether the answer lacked what was stated, so that the peer is not
+// asked for brokenTime.
+func (s *Set) Pulled(now time.Duration, from netip.AddrPort, stated, have Versions) (broken bool) {
+	p := s.peers[from]
+	if p == nil {
+		return false
+	}
+	p.failures = 0
+	d := Digest{Routes: stated.Routes, Targets: stated.Targets, Evacuations: stated.Evacuations}
+	if !d.newer(have) {
+		return false
+	}
+	p.brokenUntil = now + brokenTime
+	return true
 }
 
 // Retainer returns a live peer in the given epoch that knows what a table read from the store
 // lacks, if there is one.
 func (s *Set) Retainer(now time.Duration, epoch uint64) (netip.AddrPort, bool) {
 	for address, p := range s.peers {
+		if p.learned && now-p.learnedAt < learnInterval {
+			continue
+		}
 		if p.digest.Retaining && p.digest.Targets.Epoch == epoch && s.live(now, p) {
 			return address, true
 		}
@@ -412,9 +543,10 @@
 }
 
 // Learned records that this balancer has what a peer retains.
-func (s *Set) Learned(from netip.AddrPort) {
+func (s *Set) Learned(now time.Duration, from netip.AddrPort) {
 	if p := s.peers[from]; p != nil {
 		p.digest.Retaining = false
+		p.learned, p.learnedAt = true, now
 	}
 }
 
@@ -452,7 +584,7 @@
 		// peers would delay all of them.
 		return true
 	}
-	limit := maxContactAge + time.Duration(rank)*rankDelay
+	limit := maxContactAge + min(time.Duration(rank)*rankDelay, maxRankDelay)
 	if max(s.local, s.remote) > groupFanout {
 		// The age takes one more hop to those that the reader sends no digest in each
 		// interval.
@@ -477,6 +609,7 @@
 // PullFailed drops the versions that a peer sent, until its next digest.
 func (s *Set) PullFailed(from netip.AddrPort) {
 	if p := s.peers[from]; p != nil {
+		p.failures++
 		p.digest.Routes, p.digest.Targets, p.digest.Evacuations, p.digest.Retaining = 0, registry.Position{}, registry.Position{}, false
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -24,8 +24,8 @@
 	// maxNameBytes bounds the names of services and zones and the IDs of targets, which
 	// appear in logs and messages: the length of a key of the store.
 	maxNameBytes = 200
-	// maxSlots bounds the slots of a target.
-	maxSlots = 1 << 16
+	// MaxSlots bounds the slots of a target.
+	MaxSlots = 1 << 16
 	// maxClockDifference bounds the difference between the clocks of two hosts.
 	maxClockDifference = 24 * time.Hour
 )
@@ -115,6 +115,17 @@
 		routes = append(routes, route)
 	}
 	r.Routes = routes
+	services := make([]string, 0, len(r.Services))
+	for _, name := range r.Services {
+		if err := validateService(name); err != nil {
+			report(Unusable{Key: name[:min(len(name), maxNameBytes)], Err: err})
+			continue
+		}
+		services = append(services, name)
+	}
+	if r.Services != nil {
+		r.Services = services
+	}
 	r.Warmups = usableWarmups(r.Warmups, report)
 	return r
 }
@@ -151,8 +162,8 @@
 	switch {
 	case t.ID == "" || len(t.ID) > maxNameBytes:
 		return errors.Errorf("id of %d bytes: must have 1 to %d", len(t.ID), maxNameBytes)
-	case t.Slots < 1 || t.Slots > maxSlots:
-		return errors.Errorf("slots %d: must be from 1 to %d", t.Slots, maxSlots)
+	case t.Slots < 1 || t.Slots > MaxSlots:
+		return errors.Errorf("slots %d: must be from 1 to %d", t.Slots, MaxSlots)
 	case t.Born < 0:
 		return errors.Errorf("start %d ms: must not be negative", t.Born)
 	case t.WarmupLeft < 0 || t.WarmupLeft > MaxWarmup:
@@ -224,7 +235,8 @@
 }
 
 // Usable returns the table without the entries that cannot be used, each of which is
-// reported. A start in the future is reported and counts as none.
+// reported. A start in the future is reported and counts as none. The same holds for what is
+// retained.
 func (t Table) Usable(now time.Time, report func(Unusable)) Table {
 	targets := make([]Target, 0, len(t.Targets))
 	for _, target := range t.Targets {
@@ -237,7 +249,7 @@
 		}
 		targets = append(targets, target)
 	}
-	t.Targets = targets
+	t.Targets, t.Retained = targets, t.Retained.usable(report)
 	return t
 }
 
@@ -316,6 +328,16 @@
 	if restored {
 		r.retain(now, table.Targets)
 	}
+	r.put(now, table, restored)
+	return true
+}
+
+// OverruleTable puts a table that was read from the store into force in place of one of a later
+// position that the store never had.
+func (r *Registry) OverruleTable(now time.Duration, table Table) { r.put(now, table, false) }
+
+// put puts a table into force. In the first one of an epoch, restored is set.
+func (r *Registry) put(now time.Duration, table Table, restored bool) {
 	r.retained.adopt(now, table.Retained)
 	incoming := table.Targets
 	r.published = nil
@@ -324,7 +346,6 @@
 		incoming = r.retained.reconcile(incoming)
 	}
 	r.table = Table{Epoch: table.Epoch, Revision: table.Revision, Targets: r.merge(now, incoming, restored)}
-	return true
 }
 
 // merge returns the targets of a table together with the lapsed ones. In the first table of
--- a/internal/segnode/control.go
+++ b/internal/segnode/control.go
@@ -40,8 +40,12 @@
 	}
 }
 
-// handleLoad records the load report of an agent.
+// handleLoad records the load report of an agent. A report of a share above 1 is dropped.
 func (b *Balancer) handleLoad(m *schema.LinkLoad, from netip.AddrPort) {
+	if m.FailingMilli > 1000 {
+		b.metrics.Malformed.Inc()
+		return
+	}
 	view := b.view.Load()
 	if view == nil {
 		return
@@ -151,7 +155,8 @@
 	}
 }
 
-// handleDigest records the digest of another balancer.
+// handleDigest records the digest of another balancer. Any host can send one: what it states is
+// bounded here and by the set of peers, and believed as far as a pull bears it out.
 func (b *Balancer) handleDigest(m *schema.LinkDigest, from netip.AddrPort) {
 	d := peers.Digest{
 		Incarnation: m.Incarnation, Routes: m.RoutesVersion, ContactAge: peers.Never,
@@ -160,14 +165,14 @@
 		Reading:     m.Reading, Failing: m.Failing, Leaving: m.Leaving,
 		Serving: m.Serving, Zone: m.Zone, Capacity: m.Capacity, Retaining: m.Retaining,
 	}
-	if m.GetContactAgeMs() > maxMilliseconds {
+	if m.GetContactAgeMs() > maxMilliseconds || m.Zone != "" && registry.ValidateZone(m.Zone) != nil {
 		b.metrics.Malformed.Inc()
 		return
 	}
 	if m.ContactAgeMs != nil {
 		d.ContactAge = time.Duration(m.GetContactAgeMs()) * time.Millisecond
 	}
-	for _, name := range m.Peers {
+	for _, name := range m.Peers[:min(len(m.Peers), peers.MaxListed)] {
 		address, err := netip.ParseAddrPort(name)
 		if err != nil {
 			b.metrics.Malformed.Inc()
@@ -403,7 +408,13 @@
 
 // acceptEvacuations applies a list of evacuated zones if it is newer.
 func (b *Balancer) acceptEvacuations(list registry.Evacuations, source string) {
-	b.updateEvacuations(source, func(now time.Duration) bool { return b.registry.AcceptEvacuations(now, list) })
+	b.updateEvacuations(source, func(now time.Duration) bool {
+		accepted := b.registry.AcceptEvacuations(now, list)
+		if accepted {
+			b.zonesFromPeer = fromPeer(now, source)
+		}
+		return accepted
+	})
 }
 
 // learnEvacuations adds the zones that a peer has retained from before a restore of the store.
@@ -486,7 +497,8 @@
 		if current.Revision == 0 {
 			b.partialUntil = now + b.partialTime()
 		}
-		b.peers.EnterEpoch(table.Epoch)
+		b.tableFromPeer = fromPeer(now, source)
+		b.peers.Enter(table.Position())
 		b.publishView(now)
 	}
 	b.mu.Unlock()
@@ -531,7 +543,7 @@
 	b.mu.Lock()
 	before := b.registry.Table()
 	learned := b.registry.Learn(now, from)
-	b.peers.Learned(peer)
+	b.peers.Learned(now, peer)
 	if learned {
 		b.publishView(now)
 	}
