--- a/internal/steering/openings.go
+++ b/internal/steering/openings.go
@@ -98,8 +98,8 @@
 // refuseOpening ends an opening that cannot be served. The caller gets a reset, which
 // says that its request has not run, unless a target that got a copy of the opening has
 // not returned it: that target may have accepted the flow. After an opening has waited, a
-// target may also have got the caller's next copy through another balancer. Nothing is kept of a flow that
-// is reset, so that a storm of refusals does not fill the tables.
+// target may also have got the caller's next copy through another balancer. Nothing is kept
+// of a flow that is reset, so that a storm of refusals does not fill the tables.
 func (e *Engine) refuseOpening(now time.Duration, flow segment.Flow, r record, reason Reason) Verdict {
 	s := e.searches[flow]
 	outstanding := func(t *Target) bool { return t != nil && !(s != nil && s.excludes(t)) }
